--- /dev/null
+++ b/environment.py
@@ -0,0 +1,20 @@
+"""Behave's hooks: every scenario clears away the worlds and fleets that it made."""
+
+import asyncio
+from typing import Any
+
+
+def before_scenario(context: Any, scenario: Any) -> None:
+    context.worlds = []
+    context.fleets = []
+    context.loop = None
+
+
+def after_scenario(context: Any, scenario: Any) -> None:
+    for world in context.worlds:
+        world.close()
+    for fleet in context.fleets:
+        context.loop.run_until_complete(fleet.end())
+    if context.loop is not None:
+        context.loop.close()
+        asyncio.set_event_loop(None)
--- /dev/null
+++ b/src/cinderstair/almanac/__init__.py
@@ -0,0 +1,1 @@
+"""The almanac: move windows, which labelled things empty, and when."""
--- /dev/null
+++ b/src/cinderstair/charter/schema.py
@@ -0,0 +1,56 @@
+"""The marshmallow schema of a configuration document."""
+
+from marshmallow import Schema, ValidationError, fields, validate
+
+from ..pitch.settings import NAME, checkAddress
+
+LABELS = fields.Dict(
+    keys=fields.String(validate=validate.Regexp(r"^[A-Za-z_][A-Za-z0-9_.-]*$", error="not a label's name")),
+    values=fields.String(validate=validate.Length(max=128)),
+    load_default=dict,
+)
+
+
+class BackendSchema(Schema):
+    name = fields.String(required=True, validate=NAME)
+    address = fields.String(required=True, validate=checkAddress)
+    site = fields.String(required=True, validate=NAME)
+    cap = fields.Integer(required=True, strict=True, validate=validate.Range(min=1, max=100_000))
+    labels = LABELS
+
+
+class DatabaseSchema(Schema):
+    backends = fields.List(
+        fields.Nested(BackendSchema), required=True, validate=validate.Length(min=1, error="no backends")
+    )
+
+
+class WindowSchema(Schema):
+    name = fields.String(required=True, validate=NAME)
+    starts = fields.String(required=True)
+    ends = fields.String(required=True)
+    empties = fields.String(required=True)
+
+
+class CharterSchema(Schema):
+    """The document's shape; what holds between its parts is checked after."""
+
+    version = fields.Integer(required=True, strict=True, validate=validate.Range(min=1, max=2**62))
+    databases = fields.Dict(
+        keys=fields.String(validate=NAME),
+        values=fields.Nested(DatabaseSchema),
+        required=True,
+        validate=validate.Length(min=1, error="no databases"),
+    )
+    stalls = fields.Dict(keys=fields.String(validate=NAME), values=LABELS, load_default=dict)
+    language = fields.Raw(load_default="")
+    windows = fields.List(fields.Nested(WindowSchema), load_default=list)
+
+
+def checkLanguage(value: object) -> str:
+    """The language's text is one string, or a list with a string a line, which reads better in JSON."""
+    if isinstance(value, str):
+        return value
+    if isinstance(value, list) and all(isinstance(line, str) and "\n" not in line for line in value):
+        return "\n".join(value)
+    raise ValidationError("a text, or a list of lines")
--- /dev/null
+++ b/src/cinderstair/counter/checkverb.py
@@ -0,0 +1,45 @@
+"""The verbs that need no running system."""
+
+import json
+import sys
+from pathlib import Path
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from ..charter.check import checkCharter
+
+DONE, DENIED, USAGE = 0, 1, 2
+
+
+class CheckVerb(Command):
+    name = "check"
+    description = "Check a configuration document; needs no running system"
+    arguments = [argument("file", "the configuration document (JSON)")]
+
+    def handle(self) -> int:
+        path = self.argument("file")
+        try:
+            raw = Path(path).read_bytes()
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            return USAGE
+        checked = checkCharter(raw=raw)
+        if checked.is_error():
+            for line in checked.error.details.get("errors", [checked.error.why]):
+                print(f"{path}: {line}", file=sys.stderr)
+            return DENIED
+        charter = checked.ok
+        for warning in charter.warnings:
+            print(f"{path}: warning: {warning}", file=sys.stderr)
+        print(
+            json.dumps(
+                {
+                    "version": charter.version,
+                    "databases": len(charter.databases),
+                    "backends": len(charter.backends),
+                    "windows": len(charter.windows),
+                }
+            )
+        )
+        return DONE
--- /dev/null
+++ b/src/cinderstair/counter/edge.py
@@ -0,0 +1,35 @@
+"""Asks a running stall over its HTTP edge, for the operators' verbs."""
+
+import asyncio
+import json
+from typing import Any
+
+from expression import Result
+
+from ..pitch.counters import Counters
+from ..pitch.fault import Fault
+from ..pitch.httpjob import HttpJob
+from ..pitch.httpresponse import HttpResponse
+from ..pitch.realnet import RealNet
+
+DIAL_WAIT_US = 2_000_000
+ANSWER_WAIT_US = 15_000_000
+
+
+async def ask(*, address: str, method: str, path: str, body: bytes = b"") -> Result[HttpResponse, Fault]:
+    net = RealNet(counters=Counters())
+    dialled = await net.dial(address=address, waitUs=DIAL_WAIT_US)
+    if dialled.is_error():
+        return Result.Error(dialled.error)
+    job = HttpJob(method=method, path=path, body=body)
+    result = await dialled.ok.passJob(job=job, waitUs=ANSWER_WAIT_US)
+    dialled.ok.close()
+    await asyncio.sleep(0)
+    return result
+
+
+def askNow(
+    *, address: str, method: str, path: str, value: Any = None, body: bytes = b""
+) -> Result[HttpResponse, Fault]:
+    data = body if value is None else json.dumps(value).encode()
+    return asyncio.run(ask(address=address, method=method, path=path, body=data))
--- /dev/null
+++ b/src/cinderstair/counter/market.py
@@ -0,0 +1,48 @@
+"""Puts a real process's context together."""
+
+import logging
+import random
+import time
+
+from dependency_injector import containers, providers
+
+from ..pitch.context import Context
+from ..pitch.counters import Counters
+from ..pitch.nodisk import NoDisk
+from ..pitch.realdisk import RealDisk
+from ..pitch.realnet import RealNet
+
+
+def monotonicUs() -> int:
+    return time.monotonic_ns() // 1_000
+
+
+def calendarUs() -> int:
+    return time.time_ns() // 1_000
+
+
+class Market(containers.DeclarativeContainer):
+    """The real clock, luck, network and disk; another container may put others in their places."""
+
+    config = providers.Configuration()
+    counters = providers.Singleton(Counters)
+    luck = providers.Singleton(random.SystemRandom)
+    net = providers.Singleton(RealNet, counters=counters)
+    disk = providers.Selector(
+        config.diskKind,
+        real=providers.Singleton(RealDisk, folder=config.folder),
+        none=providers.Singleton(NoDisk),
+    )
+    log = providers.Singleton(logging.getLogger, config.name)
+    context = providers.Singleton(
+        Context,
+        name=config.name,
+        site=config.site,
+        luck=luck,
+        clock=providers.Object(monotonicUs),
+        wall=providers.Object(calendarUs),
+        net=net,
+        disk=disk,
+        log=log,
+        counters=counters,
+    )
--- /dev/null
+++ b/src/cinderstair/counter/operatorverb.py
@@ -0,0 +1,152 @@
+"""The verbs of operators that speak to a running stall."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from ..pitch.httpresponse import HttpResponse
+from .edge import askNow
+
+DONE, DENIED, USAGE, UNKNOWN = 0, 1, 2, 3
+AT = option("at", "a", "HTTP address of any stall", flag=False, default="127.0.0.1:7200")
+
+
+class OperatorVerb(Command):
+    """Exit codes: 0 done, 1 denied, 2 usage, 3 outcome unknown."""
+
+    options = [AT]
+
+    def fail(self, *, why: str, code: int) -> int:
+        print(why, file=sys.stderr)
+        return code
+
+    def speak(self, *, method: str, path: str, value: Any = None, body: bytes = b"") -> HttpResponse | int:
+        result = askNow(address=self.option("at"), method=method, path=path, value=value, body=body)
+        if result.is_error():
+            unsure = result.error.kind.value == "wireUnsure" and method != "GET"
+            return self.fail(why=f"{result.error.kind.value}: {result.error.why}", code=UNKNOWN if unsure else DENIED)
+        return result.ok
+
+    def verdict(self, *, response: HttpResponse) -> int:
+        """Says what the stall answered; the exit code follows its outcome."""
+        value = response.json()
+        if value.get("outcome") == "done":
+            print(json.dumps(value))
+            return DONE
+        print(f"{value.get('kind')}: {value.get('why')}", file=sys.stderr)
+        for line in value.get("errors", []):
+            print(f"  {line}", file=sys.stderr)
+        return UNKNOWN if value.get("outcome") == "unknown" else DENIED
+
+
+class SubmitVerb(OperatorVerb):
+    name = "submit"
+    description = "Submit a whole configuration"
+    arguments = [argument("file", "the configuration document (JSON)")]
+
+    def handle(self) -> int:
+        try:
+            raw = Path(self.argument("file")).read_bytes()
+        except OSError as error:
+            return self.fail(why=f"{self.argument('file')}: {error.strerror}", code=USAGE)
+        response = self.speak(method="PUT", path="/v1/configuration", body=raw)
+        return response if isinstance(response, int) else self.verdict(response=response)
+
+
+class FetchVerb(OperatorVerb):
+    name = "fetch"
+    description = "Read back the newest accepted configuration, to the byte"
+
+    def handle(self) -> int:
+        response = self.speak(method="GET", path="/v1/configuration")
+        if isinstance(response, int):
+            return response
+        if response.status != 200:
+            return self.verdict(response=response)
+        sys.stdout.buffer.write(response.body)
+        sys.stdout.buffer.flush()
+        return DONE
+
+
+class StatusVerb(OperatorVerb):
+    name = "status"
+    description = "Show what a stall knows of the system"
+    options = [AT, option("json", None, "as JSON")]
+
+    def handle(self) -> int:
+        response = self.speak(method="GET", path="/status")
+        if isinstance(response, int):
+            return response
+        if self.option("json"):
+            print(json.dumps(response.json(), indent=1))
+        else:
+            print(statusText(value=response.json()))
+        return DONE
+
+
+def statusText(*, value: dict[str, Any]) -> str:
+    lines = [
+        f"stall {value['stall']} at {value['site']}, slot {value['slot']}, "
+        f"view {'current' if value['viewCurrent'] else 'NOT CURRENT'}, "
+        f"configuration {value['configuration']}, {value['sessions']} sessions",
+        f"vaults (epoch {value['roster'].get('epoch')}): {' '.join(value['roster'].get('vaults', []))}",
+        "members: " + " ".join(f"{m['name']}={m['standing']}" for m in value["members"]),
+        "slots: " + " ".join(f"{s['id']}={s['name']}" for s in value["slots"]),
+    ]
+    for database, lead in value["leads"].items():
+        lines.append(
+            f"{database}: term {lead['term']} {lead['state']}, primary {lead['primary']}, "
+            f"in sync {' '.join(lead['inSync']) or '-'}, joining {' '.join(lead['joining']) or '-'}"
+        )
+    lines += [f"HELD {database}: {why}" for database, why in value["held"].items()]
+    for name, backend in value["backends"].items():
+        channels = backend["channels"]
+        lines.append(
+            f"{name}: {backend['state']}{'' if backend['fit'] else ' UNFIT'}, channels {channels['open']} of "
+            f"{channels['limit']}, opened {channels['opened']}, closed {channels['closed']}"
+        )
+    lines += [f"window {name}: {text}" for name, text in value.get("windows", {}).items()]
+    lines += [f"warning: {warning}" for warning in value["warnings"]]
+    return "\n".join(lines)
+
+
+class CountersVerb(OperatorVerb):
+    name = "counters"
+    description = "Show a stall's counters"
+
+    def handle(self) -> int:
+        response = self.speak(method="GET", path="/counters")
+        if isinstance(response, int):
+            return response
+        for key, number in response.json().items():
+            print(f"{key} {number}")
+        return DONE
+
+
+class DrainVerb(OperatorVerb):
+    name = "drain"
+    description = "Make a stall take nothing new"
+
+    def handle(self) -> int:
+        response = self.speak(method="POST", path="/drain")
+        return response if isinstance(response, int) else self.verdict(response=response)
+
+
+class OverrideVerb(OperatorVerb):
+    name = "override"
+    description = "Name a database's primary by hand; acknowledged commits may be lost"
+    arguments = [argument("database", "which database"), argument("backend", "which backend is to lead")]
+    options = [AT, option("i-accept-loss", None, "say so, or nothing is done")]
+
+    def handle(self) -> int:
+        value = {
+            "database": self.argument("database"),
+            "backend": self.argument("backend"),
+            "iAcceptLoss": bool(self.option("i-accept-loss")),
+        }
+        response = self.speak(method="POST", path="/v1/override", value=value)
+        return response if isinstance(response, int) else self.verdict(response=response)
--- /dev/null
+++ b/src/cinderstair/counter/roleverb.py
@@ -0,0 +1,121 @@
+"""The verbs that run a daemon."""
+
+import asyncio
+import logging
+import os
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from ..pitch.context import Context
+from ..pitch.settings import Settings, readSettings
+from ..stall.stall import Stall
+from ..vault.vault import Vault
+from .daemon import USAGE, Daemon, Trader
+
+FLAGS = (
+    ("name", "this process's name"),
+    ("site", "its site"),
+    ("records", "address for the records between daemons, such as 127.0.0.1:7101"),
+    ("http", "address of the HTTP edge"),
+    ("folder", "data folder"),
+    ("platform", "address of the platform"),
+    ("logLevel", "debug, info, warning or error"),
+)
+
+
+class RoleVerb(Command):
+    """Reads and checks the settings, then runs one role until it is told to stop."""
+
+    options = [
+        option("settings", "s", "settings file (TOML)", flag=False),
+        *(option(name, None, words, flag=False) for name, words in FLAGS),
+        option("seeds", None, "three seed addresses with commas between", flag=False),
+        option("foundingVaults", None, "how many vaults found the system", flag=False),
+    ]
+    needsHttp = False
+    needsFolder = False
+
+    def make(self, ctx: Context, settings: Settings, halt: Callable[[str], None]) -> Trader:
+        raise NotImplementedError
+
+    def _flags(self) -> dict[str, Any] | str:
+        flags: dict[str, Any] = {}
+        for name, _ in FLAGS:
+            value = self.option(name)
+            if value is not None:
+                flags[name] = value
+        if self.option("seeds"):
+            flags["seeds"] = self.option("seeds").split(",")
+        if self.option("foundingVaults"):
+            if not self.option("foundingVaults").isdigit():
+                return "foundingVaults: a whole number is needed"
+            flags["foundingVaults"] = int(self.option("foundingVaults"))
+        return flags
+
+    def _refuse(self, *, why: str) -> int:
+        print(why, file=sys.stderr)
+        return USAGE
+
+    def handle(self) -> int:
+        path = self.option("settings") or ""
+        flags = self._flags()
+        if isinstance(flags, str):
+            return self._refuse(why=f"flags: {flags}")
+        read = readSettings(path=path, flags=flags)
+        if read.is_error():
+            return self._refuse(why=read.error.why)
+        settings, where = read.ok, path or "flags"
+        if self.needsHttp and not settings.http:
+            return self._refuse(why=f"{where}: http: an address is needed for this role")
+        if self.needsFolder:
+            trouble = folderTrouble(folder=settings.folder)
+            if trouble:
+                return self._refuse(why=f"{where}: folder: {trouble}")
+        logging.basicConfig(
+            level=settings.logLevel.upper(),
+            format="%(asctime)s %(levelname)s %(name)s %(message)s",
+            stream=sys.stderr,
+        )
+
+        async def main() -> int:
+            daemon = Daemon(path=path, flags=flags, settings=settings, make=self.make)
+            return await daemon.run()
+
+        return asyncio.run(main())
+
+
+def folderTrouble(*, folder: str) -> str:
+    """Why a data folder can't be used; empty where it can."""
+    if not folder:
+        return "a data folder is needed for this role"
+    try:
+        os.makedirs(folder, exist_ok=True)
+        probe = os.path.join(folder, ".probe")
+        with open(probe, "wb") as file:
+            file.write(b"x")
+        os.unlink(probe)
+    except OSError as error:
+        return f"'{folder}' can't be written: {error.strerror}"
+    return ""
+
+
+class StallVerb(RoleVerb):
+    name = "stall"
+    description = "Run a front daemon: sessions, channels, share"
+    needsHttp = True
+
+    def make(self, ctx: Context, settings: Settings, halt: Callable[[str], None]) -> Trader:
+        return Stall(ctx=ctx, settings=settings)
+
+
+class VaultVerb(RoleVerb):
+    name = "vault"
+    description = "Run a daemon on a disk machine: one vote of the register"
+    needsFolder = True
+
+    def make(self, ctx: Context, settings: Settings, halt: Callable[[str], None]) -> Trader:
+        return Vault(ctx=ctx, settings=settings, halt=halt)
--- /dev/null
+++ b/src/cinderstair/crier/__init__.py
@@ -0,0 +1,1 @@
+"""The crier: who is in the market, and what the backends last said."""
--- /dev/null
+++ b/src/cinderstair/crier/crowd.py
@@ -0,0 +1,160 @@
+"""Membership: probes to a few in turn, second opinions through third parties, suspicion before removal."""
+
+from dataclasses import replace
+
+from ..pitch.context import Context
+from ..pitch.desk import PROBE, PROBE_FOR, Desk
+from ..pitch.ownermixin import OwnerMixin
+from ..pitch.packer import Packer
+from ..pitch.unpacker import Unpacker
+from .member import Member, Standing, readMember
+
+PROBE_EVERY_US = 300_000
+PROBE_WAIT_US = 250_000
+SECOND_WAIT_US = 600_000
+SUSPECT_US = 2_000_000
+FORGET_US = 30_000_000
+SECOND_OPINIONS = 3
+MOST_MEMBERS = 512
+
+
+class Crowd(OwnerMixin):
+    """Owns the table of members. Each daemon has its own; they agree in time, and nothing rests on more."""
+
+    def __init__(self, *, ctx: Context, desk: Desk, me: Member, seeds: tuple[str, ...]) -> None:
+        self.ctx = ctx
+        self.me = me
+        self.seeds = seeds
+        self.members: dict[str, Member] = {}
+        self.sinceUs: dict[str, int] = {}
+        self.turn: list[str] = []
+        self.openQueue()
+        desk.open(kind=PROBE, answer=self._probed)
+        desk.open(kind=PROBE_FOR, answer=self._probedFor)
+        self.every(everyUs=PROBE_EVERY_US, command=self._tick, name="probe")
+
+    def alive(self, *, role: str = "") -> list[Member]:
+        """The others that are not known to be gone; suspects count as here until they are removed."""
+        return [
+            member
+            for _, member in sorted(self.members.items())
+            if member.standing <= Standing.suspect and role in ("", member.role)
+        ]
+
+    def standing(self, *, name: str) -> Standing | None:
+        if name == self.me.name:
+            return Standing.alive
+        member = self.members.get(name)
+        return None if member is None else member.standing
+
+    def _news(self) -> bytes:
+        packer = Packer()
+        members = [self.me, *self.members.values()][:MOST_MEMBERS]
+        return packer.many(values=members, each=lambda p, m: m.write(packer=p)).bytes()
+
+    def _hear(self, *, unpacker: Unpacker) -> None:
+        for member in unpacker.many(each=lambda u: readMember(unpacker=u)):
+            self._take(member=member)
+        unpacker.done()
+
+    def _take(self, *, member: Member) -> None:
+        if member.name == self.me.name:
+            # why: an account of me that I would not give is answered by a newer one of my own
+            if member.incarnation >= self.me.incarnation and member != self.me:
+                self.me = replace(self.me, incarnation=member.incarnation + 1)
+            return
+        known = self.members.get(member.name)
+        if known is None and (member.standing >= Standing.left or len(self.members) >= MOST_MEMBERS):
+            return
+        if known is None or member.outranks(other=known):
+            self.members[member.name] = member
+            self.sinceUs[member.name] = self.ctx.nowUs()
+            if known is None or known.standing != member.standing:
+                self.ctx.log.info("member %s is %s", member.name, member.standing.name)
+
+    async def _probed(self, unpacker: Unpacker) -> bytes:
+        self._hear(unpacker=unpacker)
+        return self._news()
+
+    async def _probedFor(self, unpacker: Unpacker) -> bytes:
+        address = unpacker.text()
+        unpacker.done()
+        # why: no answer means no; the asker is told nothing rather than a guess
+        if not await self._probe(address=address, waitUs=PROBE_WAIT_US):
+            raise ValueError("not reached")
+        return self._news()
+
+    async def _probe(self, *, address: str, waitUs: int) -> bool:
+        body = Packer().u8(value=PROBE).bytes() + self._news()
+        result = await self.ctx.net.ask(address=address, body=body, waitUs=waitUs)
+        if result.is_error():
+            return False
+        try:
+            self._hear(unpacker=Unpacker(data=result.ok))
+        except ValueError:
+            self.ctx.counters.add(name="records.malformed")
+            return False
+        return True
+
+    def _tick(self) -> None:
+        self._sweep()
+        self.ctx.spawn(work=self._round(), name="probe.round")
+
+    def _sweep(self) -> None:
+        nowUs = self.ctx.nowUs()
+        for name, member in list(self.members.items()):
+            ageUs = nowUs - self.sinceUs[name]
+            if member.standing == Standing.suspect and ageUs > SUSPECT_US:
+                self._take(member=replace(member, standing=Standing.dead))
+                self.ctx.counters.add(name="members.removed")
+            elif member.standing >= Standing.left and ageUs > FORGET_US:
+                del self.members[name], self.sinceUs[name]
+
+    async def _round(self) -> None:
+        # why: seeds are asked whenever nobody is known, and now and then, so that two halves find each other
+        if not self.alive() or self.ctx.luck.random() < 0.05:
+            seed = self.ctx.luck.choice(self.seeds)
+            if seed != self.me.records:
+                await self._probe(address=seed, waitUs=PROBE_WAIT_US)
+        member = self._next()
+        if member is None:
+            return
+        if await self._probe(address=member.records, waitUs=PROBE_WAIT_US):
+            return
+        if await self._secondOpinion(member=member):
+            return
+        current = self.members.get(member.name)
+        # why: a member that has spoken since with a newer incarnation is not the one that was silent
+        if current is not None and current.incarnation == member.incarnation:
+            self._take(member=replace(current, standing=max(Standing.suspect, current.standing)))
+
+    def _next(self) -> Member | None:
+        """Everyone once before anyone twice, in an order drawn anew each time round."""
+        here = {member.name: member for member in self.alive()}
+        self.turn = [name for name in self.turn if name in here]
+        if not self.turn:
+            self.turn = list(here)
+            self.ctx.luck.shuffle(self.turn)
+        return here[self.turn.pop()] if self.turn else None
+
+    async def _secondOpinion(self, *, member: Member) -> bool:
+        others = [other for other in self.alive() if other.name != member.name]
+        self.ctx.luck.shuffle(others)
+        body = Packer().u8(value=PROBE_FOR).text(value=member.records).bytes()
+        asks = [
+            self.ctx.spawn(
+                work=self.ctx.net.ask(address=other.records, body=body, waitUs=SECOND_WAIT_US),
+                name="second.opinion",
+            )
+            for other in others[:SECOND_OPINIONS]
+        ]
+        reached = False
+        for ask in asks:
+            reached = (await ask).is_ok() or reached
+        return reached
+
+    async def leave(self) -> None:
+        """Says goodbye to a few, so that a planned stop is never taken for a crash."""
+        self.me = replace(self.me, standing=Standing.left, incarnation=self.me.incarnation + 1)
+        for member in self.alive()[:4]:
+            await self._probe(address=member.records, waitUs=PROBE_WAIT_US)
--- /dev/null
+++ b/src/cinderstair/crier/news.py
@@ -0,0 +1,139 @@
+"""News: what the backends last said, pulled by a vector of versions, one for each source."""
+
+from dataclasses import dataclass
+
+from ..pitch.context import Context
+from ..pitch.desk import NEWS, Desk
+from ..pitch.ownermixin import OwnerMixin
+from ..pitch.packer import Packer
+from ..pitch.unpacker import Unpacker
+from .beat import READY, Beat, readBeat
+from .crowd import Crowd
+
+PULL_EVERY_US = 250_000
+PULL_WAIT_US = 400_000
+PULL_FROM = 2
+HEARING_US = 1_500_000
+QUIET_US = 3_000_000
+FORGET_US = 30_000_000
+MOST_ENTRIES = 20_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class Heard:
+    """A beat as one source heard it; `bornUs` is by the local clock, and never later than the truth."""
+
+    source: int
+    version: int
+    beat: Beat
+    bornUs: int
+
+
+class News(OwnerMixin):
+    """Owns the table of beats. Every stall that hears a beat is a source; all pull from one another."""
+
+    def __init__(self, *, ctx: Context, desk: Desk, crowd: Crowd) -> None:
+        self.ctx = ctx
+        self.crowd = crowd
+        self.source = ctx.luck.getrandbits(62) | 1
+        self.version = 0
+        self.heard: dict[tuple[int, str], Heard] = {}
+        self.best: dict[str, Heard] = {}
+        self.startedUs = ctx.nowUs()
+        self.pulledUs = 0
+        self.alone = True
+        self.openQueue()
+        desk.open(kind=NEWS, answer=self._asked)
+        self.every(everyUs=PULL_EVERY_US, command=self._tick, name="pull")
+
+    def hear(self, *, beat: Beat) -> None:
+        """A beat came in at our own edge."""
+        known = self.best.get(beat.name)
+        # why: a beat that was held up on its way must not bring an older state back
+        if known is not None and beat.order <= known.beat.order:
+            return
+        self.version += 1
+        self._take(heard=Heard(source=self.source, version=self.version, beat=beat, bornUs=self.ctx.nowUs()))
+        self.ctx.counters.add(name="beats.heard")
+
+    def _take(self, *, heard: Heard) -> None:
+        key = (heard.source, heard.beat.name)
+        known = self.heard.get(key)
+        if known is None or heard.version > known.version:
+            self.heard[key] = heard
+        best = self.best.get(heard.beat.name)
+        if best is None or (heard.beat.order, heard.bornUs) > (best.beat.order, best.bornUs):
+            self.best[heard.beat.name] = heard
+            if best is None or best.beat.state != heard.beat.state or best.beat.leads != heard.beat.leads:
+                self.ctx.log.info(
+                    "backend %s is %s%s", heard.beat.name, heard.beat.state, " and leads" * heard.beat.leads
+                )
+
+    def latest(self, *, name: str) -> Heard | None:
+        return self.best.get(name)
+
+    def ageUs(self, *, name: str) -> int:
+        """How long ago, at the most, the backend's last known beat was; never heard counts as ever silent."""
+        heard = self.best.get(name)
+        return 1 << 62 if heard is None else self.ctx.nowUs() - heard.bornUs
+
+    @property
+    def hearing(self) -> bool:
+        """Whether other stalls' news come through here, or there are no other stalls."""
+        return self.alone or self.ctx.nowUs() - self.pulledUs < HEARING_US
+
+    def quiet(self, *, name: str) -> bool:
+        return self.ageUs(name=name) > QUIET_US
+
+    def fit(self, *, name: str) -> bool:
+        """Ready by its own word, and heard from lately."""
+        heard = self.best.get(name)
+        return heard is not None and heard.beat.state == READY and not self.quiet(name=name)
+
+    def _vector(self) -> dict[int, int]:
+        vector: dict[int, int] = {}
+        for heard in self.heard.values():
+            vector[heard.source] = max(vector.get(heard.source, 0), heard.version)
+        return vector
+
+    async def _asked(self, unpacker: Unpacker) -> bytes:
+        vector = dict(unpacker.many(each=lambda u: (u.u64(), u.u64())))
+        unpacker.done()
+        nowUs = self.ctx.nowUs()
+        lacking = [heard for heard in self.heard.values() if heard.version > vector.get(heard.source, 0)]
+
+        def each(packer: Packer, heard: Heard) -> None:
+            packer.u64(value=heard.source).u64(value=heard.version).u64(value=nowUs - heard.bornUs)
+            heard.beat.write(packer=packer)
+
+        return Packer().many(values=lacking[:MOST_ENTRIES], each=each).bytes()
+
+    def _tick(self) -> None:
+        nowUs = self.ctx.nowUs()
+        for key, heard in list(self.heard.items()):
+            if nowUs - heard.bornUs > FORGET_US:
+                del self.heard[key]
+        peers = self.crowd.alive(role="stall")
+        self.alone = not peers
+        self.ctx.luck.shuffle(peers)
+        for peer in peers[:PULL_FROM]:
+            self.ctx.spawn(work=self._pull(address=peer.records), name="news.pull")
+
+    async def _pull(self, *, address: str) -> None:
+        askedUs = self.ctx.nowUs()
+        packer = Packer().u8(value=NEWS)
+        packer.many(values=self._vector().items(), each=lambda p, e: p.u64(value=e[0]).u64(value=e[1]))
+        result = await self.ctx.net.ask(address=address, body=packer.bytes(), waitUs=PULL_WAIT_US)
+        if result.is_error():
+            return
+        try:
+            unpacker = Unpacker(data=result.ok)
+            entries = unpacker.many(each=lambda u: (u.u64(), u.u64(), u.u64(), readBeat(unpacker=u)))
+            unpacker.done()
+        except ValueError:
+            self.ctx.counters.add(name="records.malformed")
+            return
+        self.pulledUs = self.ctx.nowUs()
+        for source, version, ageUs, beat in entries:
+            # why: the answer may have lain anywhere since we asked, so its age counts from the asking
+            self._take(heard=Heard(source=source, version=version, beat=beat, bornUs=askedUs - ageUs))
--- /dev/null
+++ b/src/cinderstair/fairground/__main__.py
@@ -0,0 +1,86 @@
+"""The fairground's own programs: stand-ins as processes, and a whole fleet on loopback from one command."""
+
+import argparse
+import asyncio
+import json
+import logging
+import signal
+import sys
+
+from ..counter.market import Market
+from ..pitch.context import Context
+from .fleet import Fleet
+from .standin import StandIn
+from .standinplatform import StandInPlatform
+
+
+def context(*, name: str, site: str, folder: str) -> Context:
+    market = Market()
+    market.config.from_dict({"name": name, "site": site, "folder": folder, "diskKind": "real" if folder else "none"})
+    return market.context()
+
+
+async def untilTold() -> None:
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await stop.wait()
+
+
+async def backend(*, options: argparse.Namespace) -> None:
+    ctx = context(name=options.name, site=options.site, folder=options.folder)
+    standIn = StandIn(
+        ctx=ctx,
+        address=options.http,
+        database=options.database,
+        cap=options.cap,
+        stalls=tuple(options.stalls.split(",")),
+    )
+    await standIn.start()
+    await untilTold()
+
+
+async def platform(*, options: argparse.Namespace) -> None:
+    ctx = context(name="platform", site="", folder="")
+    standIn = StandInPlatform(ctx=ctx, address=options.http, backends=json.loads(options.backends))
+    await standIn.start()
+    await untilTold()
+
+
+async def fleet(*, options: argparse.Namespace) -> int:
+    world = Fleet(stalls=options.stalls, vaults=options.vaults, databases=options.databases)
+    try:
+        await world.begin()
+        print(f"ready; operators may use --at {world.http(name='stall-0')}", flush=True)
+        report = await world.work(callers=options.callers, forUs=options.seconds * 1_000_000)
+        print(json.dumps(report, indent=1))
+        return 1 if report["wrong"] else 0
+    finally:
+        await world.end()
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m cinderstair.fairground", description=__doc__)
+    roles = parser.add_subparsers(dest="role", required=True)
+    one = roles.add_parser("backend", help="a stand-in backend")
+    for name in ("name", "site", "folder", "http", "database", "stalls"):
+        one.add_argument(f"--{name}", required=True)
+    one.add_argument("--cap", type=int, default=60)
+    two = roles.add_parser("platform", help="a stand-in platform")
+    two.add_argument("--http", required=True)
+    two.add_argument("--backends", required=True)
+    three = roles.add_parser("fleet", help="the whole fleet of the brief's size, with callers, checked")
+    three.add_argument("--stalls", type=int, default=9)
+    three.add_argument("--vaults", type=int, default=5)
+    three.add_argument("--databases", type=int, default=3)
+    three.add_argument("--callers", type=int, default=150)
+    three.add_argument("--seconds", type=int, default=20)
+    options = parser.parse_args()
+    logging.basicConfig(level="WARNING", stream=sys.stderr)
+    if options.role == "fleet":
+        return asyncio.run(fleet(options=options))
+    asyncio.run((backend if options.role == "backend" else platform)(options=options))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/cinderstair/fairground/fleet.py
@@ -0,0 +1,295 @@
+"""The fleet runner: the whole system as separate processes on loopback. Only it starts processes."""
+
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from ..counter.edge import ask
+from ..counter.market import Market
+from ..pitch.context import Context
+from . import checks
+from .caller import Caller
+from .event import Event
+
+SITES = ("kingston", "mandeville", "montego")
+CAP = 64
+
+
+def freePorts(*, count: int) -> list[int]:
+    """Ports that nobody listens on now; all are held open until all are found, so none comes twice."""
+    held = [socket.socket() for _ in range(count)]
+    try:
+        for each in held:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in held]
+    finally:
+        for each in held:
+            each.close()
+
+
+class Fleet:
+    def __init__(self, *, stalls: int = 9, vaults: int = 5, databases: int = 3) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="cinderstair-fleet-"))
+        self.stallNames = [f"stall-{n}" for n in range(stalls)]
+        self.vaultNames = [f"vault-{n}" for n in range(vaults)]
+        self.databases = {f"db{d}": [f"db{d}-{c}" for c in "abc"] for d in range(databases)}
+        names = [*self.stallNames, *self.vaultNames, *self.backendNames(), "platform"]
+        ports = freePorts(count=2 * len(names))
+        self.ports = {name: (ports[2 * n], ports[2 * n + 1]) for n, name in enumerate(names)}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.history: list[Event] = []
+        self.callers: list[Caller] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def backendNames(self) -> list[str]:
+        return [name for names in self.databases.values() for name in names]
+
+    def http(self, *, name: str) -> str:
+        return f"127.0.0.1:{self.ports[name][0]}"
+
+    def records(self, *, name: str) -> str:
+        return f"127.0.0.1:{self.ports[name][1]}"
+
+    def site(self, *, name: str) -> str:
+        return SITES[ord(name[-1]) % len(SITES)]
+
+    def settingsPath(self, *, name: str) -> Path:
+        return self.folder / f"{name}.toml"
+
+    def writeSettings(self, *, name: str, **changes: Any) -> None:
+        values: dict[str, Any] = {
+            "name": name,
+            "site": self.site(name=name),
+            "records": self.records(name=name),
+            "http": self.http(name=name),
+            "seeds": [self.records(name=vault) for vault in self.vaultNames[:3]],
+            "foundingVaults": len(self.vaultNames),
+            "platform": self.http(name="platform"),
+            **changes,
+        }
+        if name.startswith("vault"):
+            values["folder"] = str(self.folder / name)
+        text = "".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items())
+        self.settingsPath(name=name).write_text(text)
+
+    def command(self, *, name: str) -> list[str]:
+        fair = [sys.executable, "-m", "cinderstair.fairground"]
+        if name == "platform":
+            backends = {d: {n: self.http(name=n) for n in names} for d, names in self.databases.items()}
+            return [*fair, "platform", "--http", self.http(name=name), "--backends", json.dumps(backends)]
+        if name in self.backendNames():
+            return [
+                *fair,
+                "backend",
+                "--name",
+                name,
+                "--site",
+                self.site(name=name),
+                "--folder",
+                str(self.folder / name),
+                "--http",
+                self.http(name=name),
+                "--database",
+                name.partition("-")[0],
+                "--cap",
+                str(CAP),
+                "--stalls",
+                ",".join(self.http(name=stall) for stall in self.stallNames),
+            ]
+        role = name.partition("-")[0]
+        return [sys.executable, "-m", "cinderstair", role, "-s", str(self.settingsPath(name=name))]
+
+    def start(self, *, name: str) -> None:
+        if name in (*self.stallNames, *self.vaultNames) and not self.settingsPath(name=name).exists():
+            self.writeSettings(name=name)
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                self.command(name=name), stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+
+    def logText(self, *, name: str) -> str:
+        return (self.folder / f"{name}.log").read_text()
+
+    def kill(self, *, name: str) -> None:
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def signal(self, *, name: str, number: signal.Signals) -> None:
+        os.kill(self.processes[name].pid, number)
+
+    async def awaitThat(self, *, test: Callable[[], Any], withinUs: int, what: str) -> int:
+        """Asks again until the test holds; how long that took. The limit is generous, never a measure."""
+        startUs = time.monotonic_ns() // 1000
+        while True:
+            result = test()
+            if asyncio.iscoroutine(result):
+                result = await result
+            tookUs = time.monotonic_ns() // 1000 - startUs
+            if result:
+                return tookUs
+            if tookUs > withinUs:
+                raise AssertionError(f"not within {withinUs} us: {what}")
+            await asyncio.sleep(0.1)
+
+    async def status(self, *, name: str) -> dict[str, Any]:
+        result = await ask(address=self.http(name=name), method="GET", path="/status")
+        return result.ok.json() if result.is_ok() else {}
+
+    async def isReady(self, *, name: str) -> bool:
+        result = await ask(address=self.http(name=name), method="GET", path="/ready")
+        return result.is_ok() and result.ok.status == 200
+
+    def running(self, *, name: str) -> bool:
+        process = self.processes.get(name)
+        return process is not None and process.poll() is None
+
+    async def allServe(self) -> bool:
+        for name in self.stallNames:
+            if not self.running(name=name):
+                continue
+            status = await self.status(name=name)
+            leads = status.get("leads", {})
+            if not await self.isReady(name=name) or len(leads) < len(self.databases):
+                return False
+            for lead in leads.values():
+                backend = status["backends"].get(lead["primary"], {})
+                fit = backend.get("fit") and backend["channels"]["limit"] > 0
+                if lead["state"] != "settled" or not lead["inSync"] or not fit:
+                    return False
+        return True
+
+    def configuration(self, *, version: int, **extra: Any) -> bytes:
+        document = {
+            "version": version,
+            "databases": {
+                database: {
+                    "backends": [
+                        {"name": n, "address": self.http(name=n), "site": self.site(name=n), "cap": CAP}
+                        for n in names
+                    ]
+                }
+                for database, names in self.databases.items()
+            },
+            **extra,
+        }
+        return json.dumps(document).encode()
+
+    def verb(self, *words: str, at: str = "stall-0") -> subprocess.CompletedProcess[str]:
+        """An operator's command line."""
+        command = [sys.executable, "-m", "cinderstair", *words, "--at", self.http(name=at)]
+        return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+
+    async def submit(self, *, version: int, **extra: Any) -> subprocess.CompletedProcess[str]:
+        path = self.folder / f"configuration-{version}.json"
+        path.write_bytes(self.configuration(version=version, **extra))
+        return await asyncio.to_thread(self.verb, "submit", str(path))
+
+    async def begin(self) -> None:
+        for name in self.ports:
+            self.start(name=name)
+
+        async def current() -> bool:
+            results = [await self.status(name=name) for name in self.stallNames]
+            return all(result.get("viewCurrent") for result in results)
+
+        await self.awaitThat(test=current, withinUs=90_000_000, what="views current")
+        submitted = await self.submit(version=1)
+        if submitted.returncode != 0:
+            raise AssertionError(f"submit: {submitted.stderr}")
+        await self.awaitThat(test=self.allServe, withinUs=90_000_000, what="every stall serves")
+
+    def _context(self, *, name: str) -> Context:
+        market = Market()
+        market.config.from_dict({"name": name, "site": "", "folder": "", "diskKind": "none"})
+        ctx = market.context()
+        ctx.luck = random.Random(f"{name}")
+        return ctx
+
+    def callersBegin(self, *, count: int, thinkUs: int = 670_000) -> None:
+        for number in range(count):
+            ctx = self._context(name=f"caller-{number}")
+            database = list(self.databases)[number % len(self.databases)]
+            site = SITES[number % len(SITES)]
+            near = [n for n in self.stallNames if self.site(name=n) == site] or self.stallNames
+            caller = Caller(
+                ctx=ctx,
+                stalls=[self.http(name=name) for name in near],
+                database=database,
+                history=self.history,
+                thinkUs=thinkUs,
+            )
+            self.callers.append(caller)
+            self.tasks.append(asyncio.create_task(caller.run()))
+
+    async def callersEnd(self) -> None:
+        for caller in self.callers:
+            caller.stopped = True
+        await asyncio.gather(*self.tasks)
+
+    async def finals(self) -> dict[str, dict[str, Any]]:
+        """What each database's primary holds in the end."""
+        finals: dict[str, dict[str, Any]] = {}
+        status = await self.status(name=next(n for n in self.stallNames if self.running(name=n)))
+        for database in self.databases:
+            primary = status["leads"][database]["primary"]
+            result = await ask(address=self.http(name=primary), method="POST", path="/dump")
+            finals[database] = result.ok.json()["state"]
+        return finals
+
+    def databaseOf(self, *, event: Event) -> str:
+        number = int(event.caller.partition("-")[2])
+        return list(self.databases)[number % len(self.databases)]
+
+    async def verdict(self) -> tuple[list[str], dict[str, int]]:
+        """Every checker over the whole history, database by database."""
+        wrong: list[str] = []
+        worst: Counter[str] = Counter()
+        for database, final in (await self.finals()).items():
+            events = [event for event in self.history if self.databaseOf(event=event) == database]
+            wrong += checks.kept(history=events, final=final)
+            stale, ages = checks.fresh(history=events)
+            wrong += stale + checks.values(history=events)
+            for kind, ageUs in ages.items():
+                worst[kind] = max(worst[kind], ageUs)
+        return wrong, dict(worst)
+
+    async def work(self, *, callers: int, forUs: int) -> dict[str, Any]:
+        startUs = time.monotonic_ns() // 1000
+        self.callersBegin(count=callers)
+        await asyncio.sleep(forUs / 1_000_000)
+        await self.callersEnd()
+        tookUs = time.monotonic_ns() // 1000 - startUs
+        wrong, worst = await self.verdict()
+        outcomes = Counter(f"{e.verb}.{e.outcome}{'.' + e.kind if e.kind else ''}" for e in self.history)
+        spans = sorted(e.endUs - e.startUs for e in self.history if e.outcome == "done")
+        return {
+            "jobs": len(self.history),
+            "jobsPerSecond": round(len(self.history) * 1_000_000 / tookUs, 1),
+            "outcomes": dict(sorted(outcomes.items())),
+            "medianUs": spans[len(spans) // 2] if spans else 0,
+            "p99Us": spans[len(spans) * 99 // 100] if spans else 0,
+            "worstMissedUs": worst,
+            "wrong": wrong[:20],
+        }
+
+    async def end(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                # why: a frozen process can't hear that it should stop
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
--- /dev/null
+++ b/src/cinderstair/fairground/simdisk.py
@@ -0,0 +1,40 @@
+"""A simulated disk: outlives its machine's runs, and can fail, tear or be lost."""
+
+import random
+
+
+class SimDisk:
+    """Whatever a call returned from is synced; a fault makes the call raise OSError instead."""
+
+    def __init__(self, *, luck: random.Random) -> None:
+        self.luck = luck
+        self.files: dict[str, bytes] = {}
+        self.failNext = False
+        self.tearNext = False
+        self.syncs = 0
+
+    def _strike(self, *, name: str, old: bytes, new: bytes) -> None:
+        self.syncs += 1
+        if self.tearNext:
+            self.tearNext = False
+            # why: power may go at any byte of what was being written
+            self.files[name] = old + new[: self.luck.randrange(len(new))]
+            raise OSError("torn")
+        if self.failNext:
+            self.failNext = False
+            raise OSError("sync failed")
+
+    def read(self, *, name: str) -> bytes | None:
+        return self.files.get(name)
+
+    def write(self, *, name: str, data: bytes) -> None:
+        self._strike(name=name, old=b"", new=data)
+        self.files[name] = data
+
+    def append(self, *, name: str, data: bytes) -> None:
+        old = self.files.get(name, b"")
+        self._strike(name=name, old=old, new=data)
+        self.files[name] = old + data
+
+    def wipe(self) -> None:
+        self.files.clear()
--- /dev/null
+++ b/src/cinderstair/fairground/simnet.py
@@ -0,0 +1,240 @@
+"""A simulated network: records and HTTP channels with delays, cuts, resets and lost answers."""
+
+import asyncio
+import contextvars
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from ..pitch.fault import Fault
+from ..pitch.httpjob import HttpJob, Line
+from ..pitch.httpresponse import HttpResponse
+from ..pitch.kind import Kind
+from ..pitch.net import Channel, HttpAnswer, RecordAnswer
+from .virtualloop import BOOT, Boot, VirtualLoop
+
+
+class SimLine(Line):
+    """A server's end of a channel."""
+
+    def __init__(self) -> None:
+        self.ended = False
+
+    @property
+    def closed(self) -> bool:
+        return self.ended
+
+
+class Wires:
+    """What lies between all machines."""
+
+    def __init__(self, *, loop: VirtualLoop, luck: random.Random) -> None:
+        self.loop = loop
+        self.luck = luck
+        self.records: dict[str, tuple[Boot, RecordAnswer]] = {}
+        self.https: dict[str, tuple[Boot, HttpAnswer]] = {}
+        self.hosts: dict[str, str] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.channels: list[SimChannel] = []
+        self.loseAnswers: dict[str, float] = {}
+        self.fastUs, self.slowUs = 200, 1_500
+        self.sent = 0
+
+    def delayS(self) -> float:
+        return self.luck.randrange(self.fastUs, self.slowUs) / 1_000_000
+
+    def passes(self, *, source: str, target: str) -> bool:
+        return (source, target) not in self.cuts
+
+    def later(self, *, call: Callable[[], None], delayS: float | None = None) -> None:
+        """Something that the network does, whatever becomes of the machines."""
+        self.loop.call_later(self.delayS() if delayS is None else delayS, call, context=contextvars.Context())
+
+    def runAt(self, *, boot: Boot, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        context = contextvars.Context()
+        context.run(BOOT.set, boot)
+        return self.loop.create_task(work, context=context)
+
+    def closeAll(self, *, boot: Boot) -> None:
+        """A machine's end: its listeners are gone and its channels are reset."""
+        self.records = {a: entry for a, entry in self.records.items() if entry[0] is not boot}
+        self.https = {a: entry for a, entry in self.https.items() if entry[0] is not boot}
+        for channel in list(self.channels):
+            if channel.client is boot:
+                channel.hangUp()
+            elif channel.server is boot:
+                channel.later(call=channel.reset)
+        self.channels = [c for c in self.channels if c.client is not boot and not c.broken]
+
+
+class SimChannel:
+    """A client's end of a channel."""
+
+    def __init__(self, *, wires: Wires, client: Boot, server: Boot, answer: HttpAnswer) -> None:
+        self.wires = wires
+        self.client = client
+        self.server = server
+        self.answer = answer
+        self.line = SimLine()
+        self.broken = False
+        self.waiting: asyncio.Future[HttpResponse] | None = None
+
+    @property
+    def open(self) -> bool:
+        return not self.broken
+
+    def later(self, *, call: Callable[[], None]) -> None:
+        self.wires.later(call=call)
+
+    def reset(self) -> None:
+        self.broken = True
+        self.line.ended = True
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_exception(ConnectionResetError())
+
+    def hangUp(self) -> None:
+        # why: word of the end must cross the network too; through a cut it comes when the system gives up
+        self.broken = True
+        cut = not self.wires.passes(source=self.client.name, target=self.server.name)
+        self.wires.later(call=self._end, delayS=10.0 if cut else None)
+
+    def _end(self) -> None:
+        self.line.ended = True
+
+    async def passJob(self, *, job: HttpJob, waitUs: int) -> Result[HttpResponse, Fault]:
+        if self.broken:
+            return Error(Fault(kind=Kind.wireUnsent, why=f"{self.server.name}: channel closed"))
+        self.waiting = asyncio.get_running_loop().create_future()
+        self.wires.sent += 1
+        self.later(call=lambda: self._arrive(job=job))
+        try:
+            async with asyncio.timeout(waitUs / 1_000_000):
+                return Ok(await self.waiting)
+        except (TimeoutError, ConnectionResetError) as error:
+            self.close()
+            return Error(Fault(kind=Kind.wireUnsure, why=f"{self.server.name}: {type(error).__name__}"))
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    def _arrive(self, *, job: HttpJob) -> None:
+        if not self.wires.passes(source=self.client.name, target=self.server.name):
+            return
+        if self.server.dead or self.line.ended:
+            self.reset()
+            return
+        served = HttpJob(method=job.method, path=job.path, body=job.body, query=job.query, line=self.line)
+        task = self.wires.runAt(boot=self.server, work=self.answer(served))  # type: ignore[arg-type]
+        task.add_done_callback(self._answered, context=contextvars.Context())
+
+    def _answered(self, task: asyncio.Task[HttpResponse]) -> None:
+        if task.cancelled() or self.server.dead:
+            return
+        response = task.result()
+        # why: the brief's own failure, in which a backend runs a job and its answer never arrives
+        if self.wires.luck.random() < self.wires.loseAnswers.get(self.server.name, 0):
+            self.later(call=self.reset)
+            return
+        self.later(call=lambda: self._deliver(response=response))
+
+    def _deliver(self, *, response: HttpResponse) -> None:
+        if not self.wires.passes(source=self.server.name, target=self.client.name):
+            return
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_result(response)
+
+    def close(self) -> None:
+        if not self.broken:
+            self.hangUp()
+        if self in self.wires.channels:
+            self.wires.channels.remove(self)
+
+
+class SimNet:
+    """One machine's network."""
+
+    def __init__(self, *, wires: Wires, boot: Boot) -> None:
+        self.wires = wires
+        self.boot = boot
+
+    async def ask(self, *, address: str, body: bytes, waitUs: int) -> Result[bytes, Fault]:
+        waiting: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        wires, me = self.wires, self.boot
+        wires.sent += 1
+
+        def fail() -> None:
+            if not waiting.done():
+                waiting.set_exception(ConnectionRefusedError())
+
+        def arrive() -> None:
+            host = wires.hosts.get(address, "")
+            if not wires.passes(source=me.name, target=host):
+                return
+            entry = wires.records.get(address)
+            if entry is None:
+                wires.later(call=fail)
+                return
+            boot, answer = entry
+            task = wires.runAt(boot=boot, work=answer(body))  # type: ignore[arg-type]
+            task.add_done_callback(lambda done: answered(done, boot), context=contextvars.Context())
+
+        def answered(task: asyncio.Task[bytes], boot: Boot) -> None:
+            # why: a record that can't be read is dropped by its reader, and the asker's wait runs out
+            if task.cancelled() or boot.dead or isinstance(task.exception(), ValueError):
+                return
+            response = task.result()
+            wires.later(call=lambda: deliver(response, boot))
+
+        def deliver(response: bytes, boot: Boot) -> None:
+            if wires.passes(source=boot.name, target=me.name) and not waiting.done():
+                waiting.set_result(response)
+
+        wires.later(call=arrive)
+        try:
+            async with asyncio.timeout(waitUs / 1_000_000):
+                return Ok(await waiting)
+        except (TimeoutError, ConnectionRefusedError) as error:
+            return Error(Fault(kind=Kind.wireUnsure, why=f"{address}: {type(error).__name__}"))
+
+    async def listen(self, *, address: str, answer: RecordAnswer) -> None:
+        self.wires.records[address] = (self.boot, answer)
+        self.wires.hosts[address] = self.boot.name
+
+    async def dial(self, *, address: str, waitUs: int) -> Result[Channel, Fault]:
+        wires, me = self.wires, self.boot
+        waiting: asyncio.Future[SimChannel | None] = asyncio.get_running_loop().create_future()
+
+        def settle(channel: SimChannel | None) -> None:
+            if not waiting.done():
+                waiting.set_result(channel)
+
+        def arrive() -> None:
+            host = wires.hosts.get(address, "")
+            if not wires.passes(source=me.name, target=host):
+                return
+            entry = wires.https.get(address)
+            channel = None
+            if entry is not None:
+                channel = SimChannel(wires=wires, client=me, server=entry[0], answer=entry[1])
+                wires.channels.append(channel)
+            if wires.passes(source=host, target=me.name):
+                wires.later(call=lambda: settle(channel))
+
+        wires.later(call=arrive)
+        try:
+            async with asyncio.timeout(waitUs / 1_000_000):
+                channel = await waiting
+        except TimeoutError:
+            channel = None
+        if channel is None:
+            return Error(Fault(kind=Kind.wireUnsent, why=f"{address}: not reached"))
+        return Ok(channel)
+
+    async def serve(self, *, address: str, answer: HttpAnswer) -> None:
+        self.wires.https[address] = (self.boot, answer)
+        self.wires.hosts[address] = self.boot.name
+
+    async def close(self) -> None:
+        self.wires.closeAll(boot=self.boot)
--- /dev/null
+++ b/src/cinderstair/fairground/standinplatform.py
@@ -0,0 +1,66 @@
+"""A stand-in for the platform: promotes the backend it is asked to, and makes the others follow."""
+
+import json
+from typing import Any
+
+from ..pitch.context import Context
+from ..pitch.httpjob import HttpJob
+from ..pitch.httpresponse import HttpResponse, jsonResponse
+
+RECONCILE_US = 200_000
+
+
+class StandInPlatform:
+    """Of two requests the later term counts; the same term again is done again."""
+
+    def __init__(
+        self, *, ctx: Context, address: str, backends: dict[str, dict[str, str]], promotionUs: int = 1_000_000
+    ) -> None:
+        self.ctx = ctx
+        self.address = address
+        self.backends = backends
+        self.promotionUs = promotionUs
+        self.wanted: dict[str, tuple[int, str]] = {}
+        self.promotions: list[tuple[int, str, str, int]] = []
+
+    async def start(self) -> None:
+        await self.ctx.net.serve(address=self.address, answer=self.answer)
+        self.ctx.spawn(work=self._reconcile(), name="reconcile")
+
+    async def _say(self, *, address: str, path: str, body: dict[str, Any]) -> bool:
+        dialled = await self.ctx.net.dial(address=address, waitUs=300_000)
+        if dialled.is_error():
+            return False
+        job = HttpJob(method="POST", path=path, body=json.dumps(body).encode())
+        result = await dialled.ok.passJob(job=job, waitUs=500_000)
+        dialled.ok.close()
+        return result.is_ok() and result.ok.status == 200
+
+    async def answer(self, job: HttpJob) -> HttpResponse:
+        if job.path != "/promote":
+            return jsonResponse(status=404, value={"ok": False})
+        body = json.loads(job.body)
+        database, backend, term = body["database"], body["backend"], body["term"]
+        known = self.wanted.get(database, (0, ""))
+        if term < known[0] or (term == known[0] and backend != known[1]):
+            return jsonResponse(status=409, value={"ok": False, "why": "a later request stands"})
+        if term > known[0]:
+            self.wanted[database] = (term, backend)
+            await self.ctx.rest(waitUs=self.promotionUs)
+        if self.wanted[database] != (term, backend):
+            return jsonResponse(status=409, value={"ok": False, "why": "a later request stands"})
+        address = self.backends[database][backend]
+        if not await self._say(address=address, path="/promote", body={"term": term}):
+            return jsonResponse(status=503, value={"ok": False, "why": "the backend does not answer"})
+        self.promotions.append((self.ctx.nowUs(), database, backend, term))
+        return jsonResponse(status=200, value={"ok": True})
+
+    async def _reconcile(self) -> None:
+        while True:
+            for database, (term, leader) in list(self.wanted.items()):
+                address = self.backends[database][leader]
+                for name, each in self.backends[database].items():
+                    if name != leader:
+                        work = self._say(address=each, path="/follow", body={"term": term, "leader": address})
+                        self.ctx.spawn(work=work, name="follow")
+            await self.ctx.rest(waitUs=RECONCILE_US)
--- /dev/null
+++ b/src/cinderstair/fairground/virtualloop.py
@@ -0,0 +1,112 @@
+"""An asyncio loop on virtual time, on which whole machines can be frozen and killed."""
+
+import asyncio
+import contextvars
+import selectors
+from collections.abc import Callable
+from typing import Any
+
+
+class Boot:
+    """One run of one simulated machine, from its start to its end."""
+
+    def __init__(self, *, name: str) -> None:
+        self.name = name
+        self.dead = False
+        self.frozen = False
+        self.held: list[tuple[Callable[..., Any], tuple[Any, ...], contextvars.Context]] = []
+
+
+BOOT: contextvars.ContextVar[Boot | None] = contextvars.ContextVar("boot", default=None)
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Instead of waiting it moves the clock to the next thing that is due."""
+
+    loop: "VirtualLoop"
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        # why: with nothing due and nothing ready the world would stand still for ever
+        if timeout is None:
+            raise RuntimeError("the simulated world has nothing left to do")
+        if timeout > 0:
+            self.loop.virtual += timeout
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Every callback belongs to the machine in whose context it was made.
+
+    Those of a frozen machine are held until it thaws; those of a dead one never run.
+    """
+
+    def __init__(self) -> None:
+        selector = VirtualSelector()
+        selector.loop = self
+        self.virtual = 1000.0
+        self.ended = False
+        self.graveyard: list[asyncio.Task[Any]] = []
+        super().__init__(selector)
+        self.set_task_factory(self._makeTask)
+
+    def time(self) -> float:
+        return self.virtual
+
+    def _makeTask(self, loop: Any, work: Any, context: Any = None) -> asyncio.Task[Any]:
+        # why: a dead machine's coroutines must not be collected, since that would run their clean-up code
+        task = asyncio.Task(work, loop=loop, context=context)
+        boot = (context or contextvars.copy_context()).get(BOOT)
+        if boot is not None:
+            self.graveyard.append(task)
+            if len(self.graveyard) > 20_000:
+                self.graveyard = [each for each in self.graveyard if not each.done()]
+        return task
+
+    def _gated(
+        self, callback: Callable[..., Any], args: tuple[Any, ...], context: contextvars.Context
+    ) -> tuple[Callable[..., Any], tuple[Any, ...]]:
+        boot = context.get(BOOT)
+        if boot is None:
+            return callback, args
+
+        def gate() -> None:
+            if boot.dead:
+                return
+            if boot.frozen:
+                boot.held.append((callback, args, context))
+                return
+            callback(*args)
+
+        return gate, ()
+
+    def call_soon(  # type: ignore[override]
+        self, callback: Any, *args: Any, context: Any = None
+    ) -> asyncio.Handle:
+        context = context or contextvars.copy_context()
+        # why: when a world is cleared away, its coroutines' clean-up code still runs and finds nothing to call
+        if self.ended:
+            return asyncio.Handle(callback, args, self, context)
+        callback, args = self._gated(callback, args, context)
+        return super().call_soon(callback, *args, context=context)
+
+    def call_at(  # type: ignore[override]
+        self, when: float, callback: Any, *args: Any, context: Any = None
+    ) -> asyncio.TimerHandle:
+        context = context or contextvars.copy_context()
+        if self.ended:
+            return asyncio.TimerHandle(when, callback, args, self, context)
+        callback, args = self._gated(callback, args, context)
+        return super().call_at(when, callback, *args, context=context)
+
+    def freeze(self, *, boot: Boot) -> None:
+        boot.frozen = True
+
+    def thaw(self, *, boot: Boot) -> None:
+        boot.frozen = False
+        held, boot.held = boot.held, []
+        for callback, args, context in held:
+            self.call_soon(callback, *args, context=context)
+
+    def kill(self, *, boot: Boot) -> None:
+        boot.dead = True
+        boot.held.clear()
--- /dev/null
+++ b/src/cinderstair/fairground/world.py
@@ -0,0 +1,328 @@
+"""A simulated world: the real daemons on virtual clock, network and disk, among stand-ins."""
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from ..pitch.context import Context
+from ..pitch.counters import Counters
+from ..pitch.httpjob import HttpJob
+from ..pitch.nodisk import NoDisk
+from ..pitch.settings import Settings
+from ..stall.stall import Stall
+from ..vault.vault import Vault
+from .caller import Caller
+from .event import Event
+from .simdisk import SimDisk
+from .simnet import SimNet, Wires
+from .standin import StandIn
+from .standinplatform import StandInPlatform
+from .virtualloop import Boot, VirtualLoop
+
+SITES = ("kingston", "mandeville", "montego")
+WALL_START_US = 1_780_000_000_000_000
+
+
+class World:
+    """Same seed, same run. Machines are started, killed, frozen and cut off by name."""
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        stalls: int = 3,
+        vaults: int = 5,
+        databases: int = 1,
+        changes: dict[str, Any] | None = None,
+        cap: int = 60,
+        logLevel: int = logging.CRITICAL,
+    ) -> None:
+        self.seed = seed
+        self.luck = random.Random(f"world/{seed}")
+        self.loop = VirtualLoop()
+        self.loop.set_exception_handler(self._wrong)
+        self.wires = Wires(loop=self.loop, luck=random.Random(f"wires/{seed}"))
+        self.stallNames = [f"stall-{n}" for n in range(stalls)]
+        self.vaultNames = [f"vault-{n}" for n in range(vaults)]
+        self.databases = {f"db{d}": [f"db{d}-{c}" for c in "abc"] for d in range(databases)}
+        self.changes = changes or {}
+        self.cap = cap
+        self.disks: dict[str, SimDisk] = {}
+        self.boots: dict[str, Boot] = {}
+        self.things: dict[str, Any] = {}
+        self.contexts: dict[str, Context] = {}
+        self.skewsUs: dict[str, int] = {}
+        self.wallSkewsUs: dict[str, int] = {}
+        self.history: list[Event] = []
+        self.callers: list[Caller] = []
+        self.errors: list[str] = []
+        self.halted: dict[str, str] = {}
+        self.retired: list[StandIn] = []
+        self.logLevel = logLevel
+        self.addresses = self._addresses()
+
+    def _wrong(self, loop: Any, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if error is not None:
+            self.errors.append(f"{context.get('message')}: {error!r}")
+
+    def _addresses(self) -> dict[str, str]:
+        names = [*self.vaultNames, *self.stallNames, "platform", *self.backendNames()]
+        return {name: f"10.0.{n // 250}.{n % 250 + 1}" for n, name in enumerate(names)}
+
+    def backendNames(self) -> list[str]:
+        return [name for names in self.databases.values() for name in names]
+
+    def databaseOf(self, *, name: str) -> str:
+        return name.partition("-")[0]
+
+    def http(self, *, name: str) -> str:
+        return f"{self.addresses[name]}:7200"
+
+    def records(self, *, name: str) -> str:
+        return f"{self.addresses[name]}:7100"
+
+    def siteOf(self, *, name: str) -> str:
+        return SITES[(ord(name[-1])) % len(SITES)]
+
+    @property
+    def nowUs(self) -> int:
+        return round(self.loop.virtual * 1_000_000)
+
+    def settings(self, *, name: str) -> Settings:
+        return Settings(
+            name=name,
+            site=self.siteOf(name=name),
+            records=self.records(name=name),
+            http=self.http(name=name),
+            seeds=tuple(self.records(name=vault) for vault in self.vaultNames[:3]),
+            foundingVaults=len(self.vaultNames),
+            platform=self.http(name="platform"),
+            **self.changes,
+        )
+
+    # ---- machines
+
+    def _context(self, *, name: str, boot: Boot) -> Context:
+        count = sum(1 for key in self.skewsUs if key.startswith(f"{name}#"))
+        run = f"{name}#{count}"
+        # why: no two machines' monotonic clocks agree, nor do one machine's before and after a restart
+        self.skewsUs[run] = random.Random(f"skew/{self.seed}/{run}").randrange(0, 10**12)
+        skewUs = self.skewsUs[run]
+        wallSkewUs = self.wallSkewsUs.get(name, 0)
+        disk = self.disks.setdefault(name, SimDisk(luck=random.Random(f"disk/{self.seed}/{name}")))
+        log = logging.getLogger(f"sim.{name}")
+        log.setLevel(self.logLevel)
+        return Context(
+            name=name,
+            site=self.siteOf(name=name),
+            luck=random.Random(f"luck/{self.seed}/{run}"),
+            clock=lambda: self.nowUs + skewUs,
+            wall=lambda: WALL_START_US + self.nowUs + wallSkewUs,
+            net=SimNet(wires=self.wires, boot=boot),
+            disk=disk if not name.startswith("stall") else NoDisk(),
+            log=log,
+            counters=Counters(),
+        )
+
+    def start(self, *, name: str) -> None:
+        boot = Boot(name=name)
+        ctx = self._context(name=name, boot=boot)
+        self.boots[name], self.contexts[name] = boot, ctx
+        self.wires.runAt(boot=boot, work=self._run(name=name, ctx=ctx))
+
+    async def _run(self, *, name: str, ctx: Context) -> None:
+        if name.startswith("vault"):
+            thing: Any = Vault(ctx=ctx, settings=self.settings(name=name), halt=self._halter(name=name))
+        elif name.startswith("stall"):
+            thing = Stall(ctx=ctx, settings=self.settings(name=name))
+        elif name == "platform":
+            backends = {
+                database: {each: self.http(name=each) for each in names} for database, names in self.databases.items()
+            }
+            thing = StandInPlatform(ctx=ctx, address=self.http(name=name), backends=backends)
+        else:
+            thing = StandIn(
+                ctx=ctx,
+                address=self.http(name=name),
+                database=self.databaseOf(name=name),
+                cap=self.cap,
+                stalls=tuple(self.http(name=stall) for stall in self.stallNames),
+            )
+        self.things[name] = thing
+        result = await thing.start()
+        if result is not None and result.is_error():
+            self.halted[name] = result.error.why
+            self.kill(name=name)
+
+    def _halter(self, *, name: str) -> Callable[[str], None]:
+        def halt(why: str) -> None:
+            self.halted[name] = why
+            self.kill(name=name)
+
+        return halt
+
+    def startAll(self) -> None:
+        for name in self.addresses:
+            self.start(name=name)
+
+    def kill(self, *, name: str) -> None:
+        boot = self.boots[name]
+        thing = self.things.get(name)
+        if isinstance(thing, StandIn):
+            self.retired.append(thing)
+        self.loop.kill(boot=boot)
+        self.wires.closeAll(boot=boot)
+
+    def freeze(self, *, name: str) -> None:
+        self.loop.freeze(boot=self.boots[name])
+
+    def thaw(self, *, name: str) -> None:
+        self.loop.thaw(boot=self.boots[name])
+
+    def cut(self, *, ones: list[str], others: list[str], both: bool = True) -> None:
+        for one in ones:
+            for other in others:
+                self.wires.cuts.add((one, other))
+                if both:
+                    self.wires.cuts.add((other, one))
+
+    def isolate(self, *, name: str) -> None:
+        self.cut(ones=[name], others=[other for other in self.addresses if other != name])
+
+    def heal(self) -> None:
+        self.wires.cuts.clear()
+
+    def stall(self, *, name: str) -> Stall:
+        thing = self.things[name]
+        assert isinstance(thing, Stall)
+        return thing
+
+    def backend(self, *, name: str) -> StandIn:
+        thing = self.things[name]
+        assert isinstance(thing, StandIn)
+        return thing
+
+    def vault(self, *, name: str) -> Vault:
+        thing = self.things[name]
+        assert isinstance(thing, Vault)
+        return thing
+
+    def up(self, *, name: str) -> bool:
+        boot = self.boots.get(name)
+        return boot is not None and not boot.dead and not boot.frozen and name in self.things
+
+    # ---- running
+
+    def run(self, *, work: Coroutine[Any, Any, Any]) -> Any:
+        return self.loop.run_until_complete(work)
+
+    async def _rest(self, *, forUs: int) -> None:
+        await asyncio.sleep(forUs / 1_000_000)
+
+    def advance(self, *, forUs: int) -> None:
+        self.run(work=self._rest(forUs=forUs))
+
+    def awaitThat(self, *, test: Callable[[], bool], withinUs: int, what: str) -> int:
+        """Advances until the test holds; how long that took."""
+        startUs = self.nowUs
+        while not test():
+            if self.nowUs - startUs > withinUs:
+                raise AssertionError(f"seed {self.seed}: not within {withinUs} us: {what}")
+            self.advance(forUs=50_000)
+        return self.nowUs - startUs
+
+    async def _ask(self, *, name: str, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        net = SimNet(wires=self.wires, boot=Boot(name="operator"))
+        dialled = await net.dial(address=self.http(name=name), waitUs=500_000)
+        if dialled.is_error():
+            return 0, b""
+        result = await dialled.ok.passJob(job=HttpJob(method=method, path=path, body=body), waitUs=8_000_000)
+        dialled.ok.close()
+        return (0, b"") if result.is_error() else (result.ok.status, result.ok.body)
+
+    def ask(self, *, name: str, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+        """An operator's or the platform's question to one daemon."""
+        return self.run(work=self._ask(name=name, method=method, path=path, body=body))
+
+    def configuration(self, *, version: int, **extra: Any) -> bytes:
+        document = {
+            "version": version,
+            "databases": {
+                database: {
+                    "backends": [
+                        {
+                            "name": name,
+                            "address": self.http(name=name),
+                            "site": self.siteOf(name=name),
+                            "cap": self.cap,
+                        }
+                        for name in names
+                    ]
+                }
+                for database, names in self.databases.items()
+            },
+            **extra,
+        }
+        return json.dumps(document).encode()
+
+    def ready(self) -> bool:
+        """Every stall that is up is ready, and every database is led with somebody in sync."""
+        ups = [self.stall(name=name) for name in self.stallNames if self.up(name=name)]
+        return bool(ups) and all(
+            stall.ready.unready() is None
+            and all(
+                (lead := stall.view.lead(database=database)) is not None
+                and lead.state == "settled"
+                and lead.inSync
+                and stall.yard.usable(name=lead.primary)
+                for database in self.databases
+            )
+            for stall in ups
+        )
+
+    def begin(self) -> None:
+        """From nothing to a system that serves."""
+        self.startAll()
+        self.awaitThat(
+            test=lambda: all(self.up(name=n) and self.stall(name=n).view.current for n in self.stallNames),
+            withinUs=20_000_000,
+            what="views current",
+        )
+        status, body = self.ask(
+            name="stall-0", method="PUT", path="/v1/configuration", body=self.configuration(version=1)
+        )
+        assert status == 200, body
+        self.awaitThat(test=self.ready, withinUs=30_000_000, what="ready")
+
+    def callersBegin(self, *, count: int, thinkUs: int = 300_000) -> None:
+        for number in range(count):
+            name = f"caller-{number}"
+            boot = Boot(name=name)
+            ctx = self._context(name=name, boot=boot)
+            ctx.clock = lambda: self.nowUs
+            database = list(self.databases)[number % len(self.databases)]
+            caller = Caller(
+                ctx=ctx,
+                stalls=[self.http(name=stall) for stall in self.stallNames],
+                database=database,
+                history=self.history,
+                thinkUs=thinkUs,
+            )
+            self.callers.append(caller)
+            self.wires.runAt(boot=boot, work=caller.run())
+
+    def callersEnd(self) -> None:
+        for caller in self.callers:
+            caller.stopped = True
+        self.advance(forUs=5_000_000)
+
+    def close(self) -> None:
+        for boot in self.boots.values():
+            boot.dead = True
+        self.loop.ended = True
+        self.loop.graveyard.clear()
+        self.loop.close()
--- /dev/null
+++ b/src/cinderstair/pitch/context.py
@@ -0,0 +1,69 @@
+"""The one context object: the only way to time, randomness, network and disk."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any
+
+import reactivex
+from reactivex.scheduler.eventloop import AsyncIOScheduler
+
+from .counters import Counters
+from .disk import Disk
+from .net import Net
+
+
+@dataclass(kw_only=True)
+class Context:
+    """Stands in place of globals. A test hands in a virtual clock, network and disk."""
+
+    name: str
+    site: str
+    luck: random.Random
+    clock: Callable[[], int]
+    wall: Callable[[], int]
+    net: Net
+    disk: Disk
+    log: logging.Logger
+    counters: Counters = field(default_factory=Counters)
+    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+
+    def nowUs(self) -> int:
+        """Monotonic microseconds; says nothing about any other machine's clock."""
+        return self.clock()
+
+    def wallUs(self) -> int:
+        """Microseconds since 1970 by this machine's calendar clock; only move windows may ask for it."""
+        return self.wall()
+
+    async def rest(self, *, waitUs: int) -> None:
+        await asyncio.sleep(waitUs / 1_000_000)
+
+    def spawn(self, *, work: Coroutine[Any, Any, Any], name: str = "") -> asyncio.Task[Any]:
+        """Starts a task and keeps hold of it until it ends."""
+        task = asyncio.get_running_loop().create_task(work, name=name or None)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        # why: an exception nobody awaits would vanish, and with it the reason why a duty stopped
+        if not task.cancelled() and task.exception() is not None:
+            self.crash(where=task.get_name(), error=task.exception())
+
+    def crash(self, *, where: str, error: BaseException | None) -> None:
+        self.counters.add(name="internal.crashes")
+        self.log.error("crash in %s: %r", where, error, exc_info=error)
+
+    def ticks(self, *, everyUs: int) -> reactivex.Observable[int]:
+        """A stream of ticks on the process's one loop."""
+        scheduler = AsyncIOScheduler(asyncio.get_running_loop())
+        return reactivex.interval(timedelta(microseconds=everyUs), scheduler=scheduler)
+
+    def close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
--- /dev/null
+++ b/src/cinderstair/pitch/realchannel.py
@@ -0,0 +1,73 @@
+"""One explicit httpcore connection to a backend."""
+
+import asyncio
+
+import httpcore
+from expression import Error, Ok, Result
+
+from .fault import Fault
+from .httpjob import HttpJob
+from .httpresponse import HttpResponse
+from .kind import Kind
+
+
+class RealChannel:
+    """A connection that we open, use for one job at a time, and close; it never sends anything twice."""
+
+    def __init__(self, *, address: str, connection: httpcore.AsyncHTTP11Connection) -> None:
+        self.address = address
+        self.connection = connection
+        self.broken = False
+        self.closing: asyncio.Task[None] | None = None
+
+    @property
+    def open(self) -> bool:
+        return not self.broken and not self.connection.is_closed() and not self.connection.has_expired()
+
+    async def passJob(self, *, job: HttpJob, waitUs: int) -> Result[HttpResponse, Fault]:
+        # why: a channel known dead before anything was written proves that the backend saw nothing
+        if not self.open:
+            self.close()
+            return Error(Fault(kind=Kind.wireUnsent, why=f"{self.address}: channel closed"))
+        request = httpcore.Request(
+            job.method,
+            f"http://{self.address}{job.path}",
+            headers=[
+                ("Host", self.address),
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(job.body))),
+            ],
+            content=job.body,
+        )
+        try:
+            async with asyncio.timeout(waitUs / 1_000_000):
+                response = await self.connection.handle_async_request(request)
+                body = await response.aread()
+                await response.aclose()
+        except (TimeoutError, OSError, RuntimeError, httpcore.ConnectError) as error:
+            return self._lost(error=error)
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            return self._lost(error=error)
+        except httpcore.ConnectionNotAvailable as error:
+            self.close()
+            return Error(Fault(kind=Kind.wireUnsent, why=f"{self.address}: {error!r}"))
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        return Ok(HttpResponse(status=response.status, body=body))
+
+    def _lost(self, *, error: Exception) -> Result[HttpResponse, Fault]:
+        self.close()
+        # why: once bytes may have left, only an answer tells what happened to the job
+        return Error(Fault(kind=Kind.wireUnsure, why=f"{self.address}: {type(error).__name__}"))
+
+    def close(self) -> None:
+        if not self.broken:
+            self.broken = True
+            self.closing = asyncio.get_running_loop().create_task(self._close())
+
+    async def _close(self) -> None:
+        try:
+            await self.connection.aclose()
+        except (OSError, RuntimeError, httpcore.NetworkError):
+            pass
--- /dev/null
+++ b/src/cinderstair/pitch/realnet.py
@@ -0,0 +1,86 @@
+"""The network of real processes: TCP records, an aiohttp server, explicit httpcore connections."""
+
+import asyncio
+
+import httpcore
+from aiohttp import web
+from expression import Error, Ok, Result
+
+from .counters import Counters
+from .fault import Fault
+from .httpjob import HttpJob, Line
+from .kind import Kind
+from .net import Channel, HttpAnswer, RecordAnswer
+from .realchannel import RealChannel
+from .recordwire import RecordWire, splitAddress
+
+MOST_BODY_BYTES = 4 * 1024 * 1024
+
+
+class RealLine(Line):
+    """Tells a server whether the connection that a job came in on has ended."""
+
+    def __init__(self, *, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    @property
+    def closed(self) -> bool:
+        return self.transport.is_closing()
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, RealLine) and other.transport is self.transport
+
+    def __hash__(self) -> int:
+        return id(self.transport)
+
+
+class RealNet:
+    def __init__(self, *, counters: Counters) -> None:
+        self.counters = counters
+        self.wire = RecordWire(counters=counters)
+        self.runners: list[web.AppRunner] = []
+
+    async def ask(self, *, address: str, body: bytes, waitUs: int) -> Result[bytes, Fault]:
+        return await self.wire.ask(address=address, body=body, waitUs=waitUs)
+
+    async def listen(self, *, address: str, answer: RecordAnswer) -> None:
+        await self.wire.listen(address=address, answer=answer)
+
+    async def dial(self, *, address: str, waitUs: int) -> Result[Channel, Fault]:
+        host, port = splitAddress(address=address)
+        try:
+            async with asyncio.timeout(waitUs / 1_000_000):
+                stream = await httpcore.AnyIOBackend().connect_tcp(host, port)
+        except (TimeoutError, OSError, httpcore.NetworkError, httpcore.TimeoutException) as error:
+            return Error(Fault(kind=Kind.wireUnsent, why=f"{address}: {type(error).__name__}"))
+        origin = httpcore.Origin(scheme=b"http", host=host.encode(), port=port)
+        connection = httpcore.AsyncHTTP11Connection(origin=origin, stream=stream)
+        return Ok(RealChannel(address=address, connection=connection))
+
+    async def serve(self, *, address: str, answer: HttpAnswer) -> None:
+        host, port = splitAddress(address=address)
+
+        async def handle(request: web.Request) -> web.Response:
+            try:
+                body = await request.read()
+            except web.HTTPRequestEntityTooLarge:
+                # why: the filters give the closed kind for it, so they are told by a body over their limit
+                body = b"\0" * (MOST_BODY_BYTES + 1)
+            # why: a request whose connection is already gone still needs a line, one that counts as closed
+            line = Line() if request.transport is None else RealLine(transport=request.transport)
+            job = HttpJob(method=request.method, path=request.path, body=body, query=dict(request.query), line=line)
+            response = await answer(job)
+            headers = {"Content-Type": "application/json", **response.headers}
+            return web.Response(status=response.status, body=response.body, headers=headers)
+
+        app = web.Application(client_max_size=MOST_BODY_BYTES)
+        app.router.add_route("*", "/{rest:.*}", handle)
+        runner = web.AppRunner(app, access_log=None, keepalive_timeout=120)
+        await runner.setup()
+        await web.TCPSite(runner, host, port, reuse_address=True, shutdown_timeout=2).start()
+        self.runners.append(runner)
+
+    async def close(self) -> None:
+        await self.wire.close()
+        for runner in self.runners:
+            await runner.cleanup()
--- /dev/null
+++ b/src/cinderstair/pitch/settings.py
@@ -0,0 +1,115 @@
+"""A process's place, from a checked settings file and flags."""
+
+import re
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from expression import Error, Ok, Result
+from marshmallow import Schema, ValidationError, fields, validate
+
+from .fault import Fault
+from .kind import Kind
+
+# why: nodes are told apart by IP numbers, and a name that must be looked up is one more thing that fails
+ADDRESS = re.compile(r"^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$")
+NAME = validate.Regexp(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$", error="not a name (letters, digits, . _ -)")
+LIVE = ("logLevel", "drainWaitUs", "queueMost", "idleTransactionUs")
+
+
+def checkAddress(value: str) -> None:
+    match = ADDRESS.match(value)
+    if match is None or any(int(part) > 255 for part in match.groups()[:4]):
+        raise ValidationError(f"'{value}' is not an address such as 127.0.0.1:7101")
+    if not 0 < int(match.group(5)) < 65536:
+        raise ValidationError(f"'{value}' has no port between 1 and 65535")
+
+
+class SettingsSchema(Schema):
+    """Every key that a settings file may hold."""
+
+    name = fields.String(required=True, validate=NAME)
+    site = fields.String(required=True, validate=NAME)
+    records = fields.String(required=True, validate=checkAddress)
+    http = fields.String(load_default="", validate=lambda v: checkAddress(v) if v else None)
+    folder = fields.String(load_default="")
+    seeds = fields.List(
+        fields.String(validate=checkAddress),
+        required=True,
+        validate=validate.Length(equal=3, error="three seed addresses are needed"),
+    )
+    foundingVaults = fields.Integer(load_default=5, strict=True, validate=validate.Range(min=1, max=15))
+    platform = fields.String(load_default="", validate=lambda v: checkAddress(v) if v else None)
+    logLevel = fields.String(load_default="info", validate=validate.OneOf(["debug", "info", "warning", "error"]))
+    drainWaitUs = fields.Integer(load_default=8_000_000, strict=True, validate=validate.Range(min=0))
+    queueMost = fields.Integer(load_default=200, strict=True, validate=validate.Range(min=1))
+    idleTransactionUs = fields.Integer(load_default=10_000_000, strict=True, validate=validate.Range(min=1))
+    viewLeaseUs = fields.Integer(
+        load_default=2_000_000, strict=True, validate=validate.Range(min=500_000, max=2_500_000)
+    )
+
+
+@dataclass(frozen=True, kw_only=True)
+class Settings:
+    """What a process was told when it started, and what it may be told again while it runs."""
+
+    name: str
+    site: str
+    records: str
+    seeds: tuple[str, ...]
+    http: str = ""
+    folder: str = ""
+    foundingVaults: int = 5
+    platform: str = ""
+    logLevel: str = "info"
+    drainWaitUs: int = 8_000_000
+    queueMost: int = 200
+    idleTransactionUs: int = 10_000_000
+    viewLeaseUs: int = 2_000_000
+
+
+def badSettings(*, where: str, why: str) -> Result[Settings, Fault]:
+    return Error(Fault(kind=Kind.badSettings, why=f"{where}: {why}"))
+
+
+def lineOf(*, text: str, key: str) -> int:
+    """The line on which a key stands; 0 where it doesn't."""
+    for number, line in enumerate(text.splitlines(), start=1):
+        if re.match(rf"\s*\"?{re.escape(key)}\"?\s*=", line):
+            return number
+    return 0
+
+
+def checkSettings(*, values: dict[str, Any], text: str, where: str) -> Result[Settings, Fault]:
+    try:
+        loaded = SettingsSchema().load(values)
+    except ValidationError as error:
+        key, reason = next(iter(error.normalized_messages().items()))
+        while isinstance(reason, dict):
+            reason = next(iter(reason.values()))
+        line = lineOf(text=text, key=key)
+        place = f"{where}:{line}" if line else where
+        return badSettings(where=place, why=f"{key}: {reason[0]}")
+    return Ok(Settings(**{**loaded, "seeds": tuple(loaded["seeds"])}))
+
+
+def readSettings(*, path: str, flags: dict[str, Any]) -> Result[Settings, Fault]:
+    """The file's values, overridden by flags; everything is checked before anything is used."""
+    text, values = "", {}
+    if path:
+        try:
+            text = Path(path).read_text()
+            values = tomllib.loads(text)
+        except OSError as error:
+            return badSettings(where=path, why=f"can't be read: {error.strerror}")
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+            return badSettings(where=path, why=f"not TOML: {error}")
+    return checkSettings(values={**values, **flags}, text=text, where=path or "flags")
+
+
+def mayChangeLive(*, old: Settings, new: Settings) -> list[str]:
+    """The keys that differ and can't be changed without a restart."""
+    return [
+        key for key in Settings.__dataclass_fields__ if key not in LIVE and getattr(old, key) != getattr(new, key)
+    ]
--- /dev/null
+++ b/src/cinderstair/stall/denymixin.py
@@ -0,0 +1,33 @@
+"""Answers from the one table."""
+
+from typing import Any
+
+from ..pitch.answers import ANSWERS
+from ..pitch.context import Context
+from ..pitch.fault import Fault
+from ..pitch.httpresponse import HttpResponse, jsonResponse
+from ..pitch.kind import Kind
+
+
+class DenyMixin:
+    """Gives a filter the words for everything that is not done."""
+
+    ctx: Context
+
+    def deny(self, *, kind: Kind, why: str, details: dict[str, Any] | None = None) -> HttpResponse:
+        answer = ANSWERS[kind]
+        self.ctx.counters.add(name=f"answers.{kind.value}")
+        value: dict[str, Any] = {"outcome": answer.outcome, "kind": kind.value, "why": why}
+        headers = {}
+        # why: whoever may come back is told when, at once, instead of being held until then
+        if answer.retryAfterUs:
+            value["retryAfterUs"] = answer.retryAfterUs
+            headers["Retry-After"] = str(max(1, -(-answer.retryAfterUs // 1_000_000)))
+        return jsonResponse(status=answer.status, value={**value, **(details or {})}, headers=headers)
+
+    def denyFault(self, *, fault: Fault) -> HttpResponse:
+        return self.deny(kind=fault.kind, why=fault.why, details=fault.details)
+
+    def done(self, *, value: dict[str, Any] | None = None, status: int = 200) -> HttpResponse:
+        self.ctx.counters.add(name="answers.done")
+        return jsonResponse(status=status, value={"outcome": "done", **(value or {})})
--- /dev/null
+++ b/src/cinderstair/stall/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain that every job passes; each filter may answer."""
--- /dev/null
+++ b/src/cinderstair/stall/filters/pathfilter.py
@@ -0,0 +1,51 @@
+"""What a path and a method ask for."""
+
+import re
+
+from ...pitch.context import Context
+from ...pitch.httpresponse import HttpResponse
+from ...pitch.kind import Kind
+from ..denymixin import DenyMixin
+from ..job import Job
+
+SESSION = r"/v1/sessions/(?P<session>[A-Za-z0-9._-]+)"
+PATHS = (
+    (re.compile(r"^/ready$"), {"GET": "ready"}),
+    (re.compile(r"^/drain$"), {"POST": "drain"}),
+    (re.compile(r"^/counters$"), {"GET": "counters"}),
+    (re.compile(r"^/status$"), {"GET": "status"}),
+    (re.compile(r"^/v1/beats$"), {"POST": "beat"}),
+    (re.compile(r"^/v1/configuration$"), {"GET": "fetch", "PUT": "submit"}),
+    (re.compile(r"^/v1/override$"), {"POST": "override"}),
+    (re.compile(r"^/v1/vaults$"), {"POST": "replaceVault"}),
+    (re.compile(r"^/v1/sessions$"), {"POST": "open"}),
+    (re.compile(rf"^{SESSION}$"), {"DELETE": "close"}),
+    (re.compile(rf"^{SESSION}/statements$"), {"POST": "statement"}),
+    (re.compile(rf"^{SESSION}/begin$"), {"POST": "begin"}),
+    (re.compile(rf"^{SESSION}/commit$"), {"POST": "commit"}),
+    (re.compile(rf"^{SESSION}/rollback$"), {"POST": "rollback"}),
+    (re.compile(rf"^{SESSION}/values$"), {"PUT": "values"}),
+    (
+        re.compile(rf"^{SESSION}/prepared/(?P<name>[A-Za-z0-9_.-]+)$"),
+        {"PUT": "prepare", "DELETE": "unprepare"},
+    ),
+)
+
+
+class PathFilter(DenyMixin):
+    def __init__(self, *, ctx: Context) -> None:
+        self.ctx = ctx
+
+    async def answer(self, *, job: Job) -> HttpResponse | None:
+        for pattern, methods in PATHS:
+            match = pattern.match(job.http.path)
+            if match is None:
+                continue
+            verb = methods.get(job.http.method)
+            if verb is None:
+                return self.deny(kind=Kind.wrongMethod, why=f"{job.http.path} takes {', '.join(methods)}")
+            job.verb = verb
+            found = match.groupdict()
+            job.sessionId, job.name = found.get("session", ""), found.get("name", "")
+            return None
+        return self.deny(kind=Kind.unknownPath, why=f"nothing at {job.http.path}")
--- /dev/null
+++ b/src/cinderstair/stall/job.py
@@ -0,0 +1,33 @@
+"""A job on its way through the filters."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..pitch.httpjob import HttpJob
+from .session import Session
+
+MOST_TIME_LEFT_US = 600_000_000
+
+
+@dataclass(kw_only=True)
+class Job:
+    """Filters fill it in as it passes; each may answer instead."""
+
+    http: HttpJob
+    startUs: int
+    verb: str = ""
+    sessionId: str = ""
+    name: str = ""
+    body: dict[str, Any] = field(default_factory=dict)
+    untilUs: int = 0
+    session: Session | None = None
+    kind: str = ""
+
+    def timeLeftUs(self, *, nowUs: int) -> int:
+        return self.untilUs - nowUs
+
+    @property
+    def bound(self) -> Session:
+        """The session; only filters behind the one that finds it may ask."""
+        assert self.session is not None
+        return self.session
--- /dev/null
+++ b/src/cinderstair/stall/ledgerbook.py
@@ -0,0 +1,68 @@
+"""The waterlines of all replicas: when a commit may be acknowledged."""
+
+import asyncio
+
+from ..pitch.context import Context
+from ..steward.lead import SETTLED
+from .view import View
+from .waterline import Waterline
+from .yard import Yard
+
+LOOK_AGAIN_US = 50_000
+
+
+class LedgerBook:
+    """Says of a position in a term whether all that must hold it do."""
+
+    def __init__(self, *, ctx: Context, view: View, yard: Yard) -> None:
+        self.ctx = ctx
+        self.view = view
+        self.yard = yard
+        self.lines: dict[str, Waterline] = {}
+
+    def line(self, *, name: str) -> Waterline:
+        if name not in self.lines:
+            self.lines[name] = Waterline(ctx=self.ctx, yard=self.yard, name=name)
+        return self.lines[name]
+
+    def holds(self, *, database: str, term: int) -> bool:
+        """The term is still the one in force, by a view that is current now."""
+        lead = self.view.lead(database=database)
+        return self.view.current and lead is not None and lead.term == term and lead.state == SETTLED
+
+    async def durable(self, *, database: str, term: int, position: int, untilUs: int) -> bool:
+        """Waits until every in-sync and joining replica holds the position and the term is still in force."""
+        asked: set[str] = set()
+        while True:
+            lead = self.view.lead(database=database)
+            # why: once another term has begun, nothing of this one may be acknowledged any more
+            if lead is None or lead.term != term or lead.state != SETTLED:
+                return False
+            missing = [
+                name for name in lead.confirmers if not self.line(name=name).covers(term=term, position=position)
+            ]
+            # why: with nobody in sync a commit would stand on one disk alone
+            if lead.inSync and not missing and self.view.current:
+                return True
+            leftUs = untilUs - self.ctx.nowUs()
+            if leftUs <= 0:
+                return False
+            for name in missing:
+                if name not in asked or not self.line(name=name).asking:
+                    asked.add(name)
+                    self.line(name=name).want(term=term, position=position)
+            await self._change(names=missing, waitUs=min(leftUs, LOOK_AGAIN_US))
+
+    async def _change(self, *, names: list[str], waitUs: int) -> None:
+        waits = [self.ctx.spawn(work=self._one(name=name, waitUs=waitUs), name="line") for name in names]
+        if not waits:
+            await self.ctx.rest(waitUs=waitUs)
+            return
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+
+    async def _one(self, *, name: str, waitUs: int) -> None:
+        try:
+            async with asyncio.timeout(waitUs / 1_000_000):
+                await self.line(name=name).changed.wait()
+        except TimeoutError:
+            pass
--- /dev/null
+++ b/src/cinderstair/stall/pool.py
@@ -0,0 +1,141 @@
+"""One stall's channels to one backend."""
+
+import asyncio
+from collections import deque
+
+from expression import Error, Ok, Result
+
+from ..pitch.context import Context
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.net import Channel
+
+DIAL_WAIT_US = 400_000
+IDLE_US = 45_000_000
+ERRORS_US = 10_000_000
+ERROR_WEIGHT = 4
+SHUN_US = 500_000
+
+
+class Pool:
+    """Owns the channels. Jobs wait in order; one channel is kept for gauges, which jump the queue."""
+
+    def __init__(self, *, ctx: Context, name: str, address: str, queueMost: int) -> None:
+        self.ctx = ctx
+        self.name = name
+        self.address = address
+        self.queueMost = queueMost
+        self.limit = 0
+        self.idle: deque[tuple[Channel, int]] = deque()
+        self.taken = 0
+        self.waiting: deque[asyncio.Future[None]] = deque()
+        self.errors: deque[int] = deque()
+        self.opened = 0
+        self.closed = 0
+        self.shunUntilUs = 0
+
+    @property
+    def open(self) -> int:
+        return self.taken + len(self.idle)
+
+    @property
+    def weight(self) -> int:
+        """Least is best: jobs under way and waiting, and each recent error counts as several."""
+        nowUs = self.ctx.nowUs()
+        while self.errors and self.errors[0] < nowUs - ERRORS_US:
+            self.errors.popleft()
+        return self.taken + len(self.waiting) + ERROR_WEIGHT * len(self.errors)
+
+    @property
+    def shunned(self) -> bool:
+        return self.ctx.nowUs() < self.shunUntilUs
+
+    def blame(self) -> None:
+        self.errors.append(self.ctx.nowUs())
+
+    def _room(self, *, gauge: bool) -> bool:
+        # why: a gauge that waits behind jobs would make every freshness promise wait with it
+        spare = 0 if gauge or self.limit < 2 else 1
+        return self.taken < self.limit - spare
+
+    async def take(self, *, waitUs: int, gauge: bool = False) -> Result[Channel, Fault]:
+        """A channel for one job or one transaction; the taker gives it back."""
+        if self.limit == 0:
+            return Error(Fault(kind=Kind.noBackend, why=f"{self.name}: not in this stall's share"))
+        if not self._room(gauge=gauge):
+            if len(self.waiting) >= self.queueMost or waitUs <= 0:
+                return Error(Fault(kind=Kind.crowded, why=f"{self.name}: queue is full"))
+            turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            if gauge:
+                self.waiting.appendleft(turn)
+            else:
+                self.waiting.append(turn)
+            try:
+                async with asyncio.timeout(waitUs / 1_000_000):
+                    await turn
+            except TimeoutError:
+                if turn.done() and not turn.cancelled():
+                    self._wake()
+                return Error(Fault(kind=Kind.crowded, why=f"{self.name}: no channel within the time left"))
+            finally:
+                if turn in self.waiting:
+                    self.waiting.remove(turn)
+            if self.limit == 0:
+                return Error(Fault(kind=Kind.noBackend, why=f"{self.name}: left this stall's share"))
+        self.taken += 1
+        while self.idle:
+            channel, sinceUs = self.idle.pop()
+            if channel.open and self.ctx.nowUs() - sinceUs < IDLE_US:
+                return Ok(channel)
+            self._shut(channel=channel)
+        return await self._dial(waitUs=waitUs)
+
+    async def _dial(self, *, waitUs: int) -> Result[Channel, Fault]:
+        try:
+            dialled = await self.ctx.net.dial(address=self.address, waitUs=min(waitUs, DIAL_WAIT_US))
+        except BaseException:
+            self._leave()
+            raise
+        if dialled.is_error():
+            self.blame()
+            self.shunUntilUs = self.ctx.nowUs() + SHUN_US
+            self._leave()
+            return dialled
+        self.opened += 1
+        self.ctx.counters.add(name="channels.opened")
+        return dialled
+
+    def give(self, *, channel: Channel, keep: bool = True) -> None:
+        """Returns a channel. One that may still hold somebody's state must be given back with keep=False."""
+        if keep and channel.open and self.open <= self.limit:
+            self.idle.append((channel, self.ctx.nowUs()))
+        else:
+            self._shut(channel=channel)
+        self._leave()
+
+    def _leave(self) -> None:
+        self.taken -= 1
+        self._wake()
+
+    def _wake(self) -> None:
+        while self.waiting and (self._room(gauge=False) or self.limit == 0):
+            turn = self.waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+
+    def _shut(self, *, channel: Channel) -> None:
+        channel.close()
+        self.closed += 1
+        self.ctx.counters.add(name="channels.closed")
+
+    def resize(self, *, limit: int) -> None:
+        self.limit = limit
+        # why: idle channels go at once; those at work go when they are given back
+        while self.idle and self.open > limit:
+            self._shut(channel=self.idle.popleft()[0])
+        self._wake()
+
+    def shutIdle(self) -> None:
+        while self.idle:
+            self._shut(channel=self.idle.popleft()[0])
--- /dev/null
+++ b/src/cinderstair/stall/samples.py
@@ -0,0 +1,60 @@
+"""Samples of the primary's position: how old a replica's answer may be, told without comparing clocks."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from ..pitch.context import Context
+from ..pitch.ownermixin import OwnerMixin
+from ..steward.lead import SETTLED
+from .gauge import readGauge
+from .view import View
+from .yard import Yard
+
+SAMPLE_EVERY_US = 250_000
+KEEP_US = 3_000_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class Sample:
+    """At some moment after `beganUs` the primary of `term` was at `position`."""
+
+    beganUs: int
+    term: int
+    position: int
+
+
+class Samples(OwnerMixin):
+    """Owns the samples of all databases."""
+
+    def __init__(self, *, ctx: Context, view: View, yard: Yard) -> None:
+        self.ctx = ctx
+        self.view = view
+        self.yard = yard
+        self.taken: dict[str, deque[Sample]] = {}
+        self.openQueue()
+        self.every(everyUs=SAMPLE_EVERY_US, command=self._tick, name="sample")
+
+    def _tick(self) -> None:
+        for database in self.view.leads:
+            self.ctx.spawn(work=self.sample(database=database), name="sample")
+
+    async def sample(self, *, database: str) -> None:
+        lead = self.view.lead(database=database)
+        if lead is None or lead.state != SETTLED:
+            return
+        beganUs = self.ctx.nowUs()
+        reading = await readGauge(yard=self.yard, name=lead.primary)
+        if reading.is_error() or not reading.ok.leads or reading.ok.term != lead.term:
+            return
+        # why: only while nobody else can have been made to lead is the primary's position the newest
+        if not self.view.current or self.view.lead(database=database) != lead:
+            return
+        taken = self.taken.setdefault(database, deque())
+        taken.append(Sample(beganUs=beganUs, term=lead.term, position=reading.ok.received))
+        while taken and taken[0].beganUs < self.ctx.nowUs() - KEEP_US:
+            taken.popleft()
+
+    def floor(self, *, database: str, term: int, sinceUs: int) -> int | None:
+        """The position that covers all that was acknowledged before `sinceUs`; None where nobody can tell."""
+        fitting = [s for s in self.taken.get(database, ()) if s.term == term and s.beganUs >= sinceUs]
+        return min((sample.position for sample in fitting), default=None)
--- /dev/null
+++ b/src/cinderstair/stall/sessions.py
@@ -0,0 +1,57 @@
+"""The table of open sessions."""
+
+from ..pitch.context import Context
+from ..pitch.ownermixin import OwnerMixin
+from .session import Session
+
+SWEEP_US = 500_000
+FORGET_US = 3_600_000_000
+MOST_SESSIONS = 20_000
+
+
+class Sessions(OwnerMixin):
+    """Owns the sessions. An abandoned transaction is ended by closing its channel, so the backend rolls back."""
+
+    def __init__(self, *, ctx: Context, idleTransactionUs: int) -> None:
+        self.ctx = ctx
+        self.idleTransactionUs = idleTransactionUs
+        self.open: dict[str, Session] = {}
+        self.openQueue()
+        self.every(everyUs=SWEEP_US, command=self._sweep, name="sweep")
+
+    def add(self, *, database: str) -> Session | None:
+        if len(self.open) >= MOST_SESSIONS:
+            return None
+        # why: a session's name is its key; nobody may guess another's
+        ident = f"{self.ctx.name}.{self.ctx.luck.getrandbits(96):024x}"
+        session = Session(ident=ident, database=database, usedUs=self.ctx.nowUs())
+        self.open[ident] = session
+        return session
+
+    def find(self, *, ident: str) -> Session | None:
+        return self.open.get(ident)
+
+    def close(self, *, session: Session) -> None:
+        self.open.pop(session.ident, None)
+        self.abandon(session=session)
+
+    def abandon(self, *, session: Session) -> None:
+        """Ends a session's transaction without a word to the backend but the closing of the channel."""
+        transaction = session.transaction
+        if transaction is not None:
+            session.transaction = None
+            session.lost = True
+            transaction.pool.give(channel=transaction.channel, keep=False)
+            self.ctx.counters.add(name="transactions.abandoned")
+
+    def _sweep(self) -> None:
+        nowUs = self.ctx.nowUs()
+        for session in list(self.open.values()):
+            if session.busy:
+                continue
+            transaction = session.transaction
+            if transaction is not None and nowUs - transaction.usedUs > self.idleTransactionUs:
+                self.abandon(session=session)
+            if nowUs - session.usedUs > FORGET_US:
+                self.close(session=session)
+        self.ctx.counters.gauge(name="sessions.open", value=len(self.open))
--- /dev/null
+++ b/src/cinderstair/stall/stall.py
@@ -0,0 +1,173 @@
+"""The stall daemon."""
+
+import asyncio
+from typing import Protocol
+
+from expression import Ok, Result
+
+from ..charter.chancery import Chancery
+from ..crier.crowd import Crowd
+from ..crier.member import Member
+from ..crier.news import News
+from ..pitch.context import Context
+from ..pitch.desk import Desk
+from ..pitch.fault import Fault
+from ..pitch.httpjob import HttpJob
+from ..pitch.httpresponse import HttpResponse
+from ..pitch.kind import Kind
+from ..pitch.settings import Settings
+from ..steward.leadduty import LeadDuty
+from ..steward.platform import Platform
+from ..steward.slotduty import SlotDuty
+from ..vault.register import Register
+from .denymixin import DenyMixin
+from .filters.bodyfilter import BodyFilter
+from .filters.deskfilter import DeskFilter
+from .filters.keepfilter import KeepFilter
+from .filters.passfilter import PassFilter
+from .filters.pathfilter import PathFilter
+from .filters.readyfilter import ReadyFilter
+from .filters.routefilter import RouteFilter
+from .filters.sessionfilter import SessionFilter
+from .filters.timeleftfilter import TimeLeftFilter
+from .job import Job
+from .ledgerbook import LedgerBook
+from .samples import Samples
+from .sessions import Sessions
+from .statuspage import StatusPage
+from .view import View
+from .yard import Yard
+
+TEND_US = 250_000
+
+
+class Filter(Protocol):
+    async def answer(self, *, job: Job) -> HttpResponse | None: ...
+
+
+class Stall(DenyMixin):
+    """Wires the tables' owners and the chain of filters together."""
+
+    def __init__(self, *, ctx: Context, settings: Settings) -> None:
+        self.ctx = ctx
+        self.settings = settings
+        self.desk = Desk()
+        self.register = Register(ctx=ctx, seeds=settings.seeds)
+        me = Member(
+            name=settings.name,
+            role="stall",
+            site=settings.site,
+            records=settings.records,
+            http=settings.http,
+            incarnation=1,
+        )
+        self.crowd = Crowd(ctx=ctx, desk=self.desk, me=me, seeds=settings.seeds)
+        self.news = News(ctx=ctx, desk=self.desk, crowd=self.crowd)
+        self.view = View(ctx=ctx, register=self.register, leaseUs=settings.viewLeaseUs)
+        self.yard = Yard(ctx=ctx, view=self.view, news=self.news, queueMost=settings.queueMost)
+        self.samples = Samples(ctx=ctx, view=self.view, yard=self.yard)
+        self.book = LedgerBook(ctx=ctx, view=self.view, yard=self.yard)
+        self.sessions = Sessions(ctx=ctx, idleTransactionUs=settings.idleTransactionUs)
+        self.slotDuty = SlotDuty(ctx=ctx, register=self.register, view=self.view, crowd=self.crowd)
+        self.leadDuty = LeadDuty(
+            ctx=ctx,
+            register=self.register,
+            view=self.view,
+            news=self.news,
+            yard=self.yard,
+            platform=Platform(ctx=ctx, address=settings.platform),
+        )
+        self.ready = ReadyFilter(ctx=ctx, view=self.view, crowd=self.crowd)
+        self.status = StatusPage(
+            ctx=ctx,
+            view=self.view,
+            crowd=self.crowd,
+            news=self.news,
+            yard=self.yard,
+            sessions=self.sessions,
+            leads=self.leadDuty,
+        )
+        self.chain = self._chain()
+
+    def _chain(self) -> tuple[Filter, ...]:
+        ctx, view = self.ctx, self.view
+        return (
+            PathFilter(ctx=ctx),
+            BodyFilter(ctx=ctx),
+            DeskFilter(
+                ctx=ctx,
+                view=view,
+                news=self.news,
+                chancery=Chancery(ctx=ctx, register=self.register),
+                ready=self.ready,
+                status=self.status,
+                leads=self.leadDuty,
+            ),
+            TimeLeftFilter(ctx=ctx),
+            self.ready,
+            SessionFilter(ctx=ctx, sessions=self.sessions, ready=self.ready),
+            KeepFilter(ctx=ctx, sessions=self.sessions, view=view),
+            RouteFilter(ctx=ctx, view=view),
+            PassFilter(
+                ctx=ctx,
+                view=view,
+                yard=self.yard,
+                news=self.news,
+                samples=self.samples,
+                book=self.book,
+                sessions=self.sessions,
+            ),
+        )
+
+    async def start(self) -> Result[None, Fault]:
+        await self.ctx.net.listen(address=self.settings.records, answer=self.desk.answer)
+        await self.ctx.net.serve(address=self.settings.http, answer=self.answer)
+        self.ctx.ticks(everyUs=TEND_US).subscribe(lambda _: self._tend())
+        self.ctx.log.info("stall %s at %s", self.settings.name, self.settings.http)
+        return Ok(None)
+
+    async def answer(self, http: HttpJob) -> HttpResponse:
+        """The way of a job: each filter may answer, and the first answer counts."""
+        job = Job(http=http, startUs=self.ctx.nowUs())
+        try:
+            for each in self.chain:
+                response = await each.answer(job=job)
+                if response is not None:
+                    return response
+            return self.deny(kind=Kind.unknownPath, why="nobody answers for this")
+        except Exception as error:  # noqa: BLE001
+            # why: one job that breaks must not take others with it, and it may have reached a backend
+            self.ctx.crash(where=f"job {job.verb}", error=error)
+            return self.deny(kind=Kind.internal, why="an error of ours; it is logged")
+        finally:
+            if job.session is not None:
+                job.session.busy = False
+
+    def _tend(self) -> None:
+        if self.view.current and self.view.slots.idOf(name=self.ctx.name) is None and not self.ready.draining:
+            self.slotDuty.post(command=lambda: self.slotDuty.claim(name=self.ctx.name), once="claim")
+        for session in list(self.sessions.open.values()):
+            transaction = session.transaction
+            # why: a transaction on a backend that has to be left is ended before anything more reaches it
+            if transaction is not None and not session.busy and not self.yard.reachable(name=transaction.pool.name):
+                self.sessions.abandon(session=session)
+
+    async def drain(self) -> None:
+        """A planned stop: takes nothing new, lets what is under way finish, then says goodbye."""
+        self.ready.draining = True
+        untilUs = self.ctx.nowUs() + self.settings.drainWaitUs
+        while self.ctx.nowUs() < untilUs and any(
+            s.busy or s.transaction is not None for s in self.sessions.open.values()
+        ):
+            await self.ctx.rest(waitUs=50_000)
+        await asyncio.gather(self.leadDuty.lease.drop(), self.slotDuty.lease.drop())
+        await self.crowd.leave()
+        self.yard.stop()
+
+    def resettle(self, *, settings: Settings) -> None:
+        """Takes the settings that may change while the process runs."""
+        self.settings = settings
+        self.sessions.idleTransactionUs = settings.idleTransactionUs
+        self.yard.queueMost = settings.queueMost
+        for pool in self.yard.pools.values():
+            pool.queueMost = settings.queueMost
--- /dev/null
+++ b/src/cinderstair/stall/waterline.py
@@ -0,0 +1,56 @@
+"""How far one replica has durably received the log, and who waits for it to get further."""
+
+import asyncio
+
+from ..pitch.context import Context
+from .gauge import readGauge
+from .yard import Yard
+
+HOLD_US = 200_000
+AGAIN_US = 20_000
+
+
+class Waterline:
+    """One question at a time to a replica serves all the commits that wait on it."""
+
+    def __init__(self, *, ctx: Context, yard: Yard, name: str) -> None:
+        self.ctx = ctx
+        self.yard = yard
+        self.name = name
+        self.term = 0
+        self.received = 0
+        self.wanted: list[tuple[int, int]] = []
+        self.asking = False
+        self.changed = asyncio.Event()
+
+    def covers(self, *, term: int, position: int) -> bool:
+        return self.term == term and self.received >= position
+
+    def want(self, *, term: int, position: int) -> None:
+        self.wanted.append((term, position))
+        if not self.asking:
+            self.asking = True
+            self.ctx.spawn(work=self._ask(), name=f"waterline.{self.name}")
+
+    def _stillWanted(self) -> int:
+        self.wanted = [(t, p) for t, p in self.wanted if not self.covers(term=t, position=p) and t >= self.term]
+        return min((p for _, p in self.wanted), default=0)
+
+    async def _ask(self) -> None:
+        misses = 0
+        try:
+            # why: a replica that does not answer is the steward's to drop; the commits have their own limits
+            while (position := self._stillWanted()) and misses < 20:
+                reading = await readGauge(yard=self.yard, name=self.name, atLeast=position, holdUs=HOLD_US)
+                if reading.is_ok():
+                    # why: a position counts only within its own term, so both are replaced together
+                    self.term, self.received = reading.ok.term, reading.ok.received
+                    self.changed.set()
+                    self.changed = asyncio.Event()
+                else:
+                    misses += 1
+                    await self.ctx.rest(waitUs=AGAIN_US * 2)
+                await self.ctx.rest(waitUs=0 if reading.is_ok() and reading.ok.received >= position else AGAIN_US)
+        finally:
+            self.wanted = []
+            self.asking = False
--- /dev/null
+++ b/src/cinderstair/stall/yard.py
@@ -0,0 +1,122 @@
+"""All of a stall's pools, sized by the share."""
+
+from ..charter.backend import Backend
+from ..crier.news import News
+from ..pitch.context import Context
+from ..pitch.ownermixin import OwnerMixin
+from .pool import Pool
+from .share import allotment, withReplacements
+from .view import View
+
+TICK_US = 250_000
+# why: growth waits until every stall has either shrunk or lost its view, so the cap holds in between
+GROW_MARGIN_US = 300_000
+UNFIT_GRACE_US = 3_000_000
+
+
+class Yard(OwnerMixin):
+    """Owns the pools. The share is computed here, only when the list, the ids or fitness change."""
+
+    def __init__(self, *, ctx: Context, view: View, news: News, queueMost: int) -> None:
+        self.ctx = ctx
+        self.view = view
+        self.news = news
+        self.queueMost = queueMost
+        self.pools: dict[str, Pool] = {}
+        self.shares: dict[str, tuple[str, ...]] = {}
+        self.unfitSinceUs: dict[str, int] = {}
+        self.growAtUs: dict[str, int] = {}
+        self.wanted: dict[str, int] = {}
+        self.computed = 0
+        self.inputs: object = None
+        self.openQueue()
+        view.changes.subscribe(lambda _: self.post(command=self.refresh, once="refresh"))
+        self.every(everyUs=TICK_US, command=self.refresh, name="refresh")
+
+    def pool(self, *, name: str) -> Pool | None:
+        return self.pools.get(name)
+
+    def share(self, *, database: str) -> tuple[str, ...]:
+        return self.shares.get(database, ())
+
+    def usable(self, *, name: str) -> bool:
+        """May new jobs go there?"""
+        pool = self.pools.get(name)
+        return pool is not None and pool.limit > 0 and self.news.fit(name=name) and not pool.shunned
+
+    def reachable(self, *, name: str) -> bool:
+        """May anything at all still be sent there?"""
+        sinceUs = self.unfitSinceUs.get(name)
+        return sinceUs is None or self.ctx.nowUs() - sinceUs < UNFIT_GRACE_US
+
+    def refresh(self) -> None:
+        charter = self.view.charter
+        if charter is None:
+            return
+        nowUs = self.ctx.nowUs()
+        for name in charter.backends:
+            if self.news.fit(name=name):
+                self.unfitSinceUs.pop(name, None)
+            else:
+                self.unfitSinceUs.setdefault(name, nowUs)
+                # why: a backend that empties or fell silent is left alone as soon as no job is under way
+                if name in self.pools:
+                    self.pools[name].shutIdle()
+        primaries = frozenset(lead.primary for lead in self.view.leads.values())
+        inputs = (charter.version, self.view.slots, frozenset(self.unfitSinceUs), primaries)
+        if inputs != self.inputs:
+            self.inputs = inputs
+            self._compute()
+        self._grow()
+
+    def _compute(self) -> None:
+        charter = self.view.charter
+        assert charter is not None
+        self.computed += 1
+        myId = self.view.slots.idOf(name=self.ctx.name)
+        ids = self.view.slots.ids
+        unfit = frozenset(self.unfitSinceUs)
+        wanted: dict[str, int] = {}
+        for database, names in charter.databases.items():
+            size = charter.amount(name="subsetSize", database=database)
+            subsets = {
+                number: withReplacements(names=names, stallId=number, subsetSize=size, unfit=unfit) for number in ids
+            }
+            self.shares[database] = () if myId is None else subsets[myId]
+            lead = self.view.leads.get(database)
+            for name in names:
+                # why: writes and primary reads come from every stall, whatever their subsets
+                leads = lead is not None and lead.primary == name
+                userIds = [n for n, held in subsets.items() if leads or name in held]
+                part = 0 if myId is None else allotment(cap=charter.backends[name].cap, userIds=userIds, stallId=myId)
+                wanted[name] = part
+        self._resize(wanted=wanted, backends=charter.backends)
+
+    def _resize(self, *, wanted: dict[str, int], backends: dict[str, Backend]) -> None:
+        nowUs = self.ctx.nowUs()
+        for name, backend in backends.items():
+            pool = self.pools.get(name)
+            # why: a backend declared at another address is another server; its old channels lead astray
+            if pool is None or pool.address != backend.address:
+                if pool is not None:
+                    pool.resize(limit=0)
+                pool = Pool(ctx=self.ctx, name=name, address=backend.address, queueMost=self.queueMost)
+                self.pools[name] = pool
+            if wanted[name] < pool.limit:
+                pool.resize(limit=wanted[name])
+            if wanted[name] > pool.limit and self.wanted.get(name) != wanted[name]:
+                self.growAtUs[name] = nowUs + self.view.leaseUs + GROW_MARGIN_US
+        for name in set(self.pools) - set(backends):
+            self.pools.pop(name).resize(limit=0)
+        self.wanted = wanted
+
+    def _grow(self) -> None:
+        nowUs = self.ctx.nowUs()
+        for name, wanted in self.wanted.items():
+            pool = self.pools[name]
+            if wanted > pool.limit and nowUs >= self.growAtUs.get(name, 0):
+                pool.resize(limit=wanted)
+
+    def stop(self) -> None:
+        for pool in self.pools.values():
+            pool.resize(limit=0)
--- /dev/null
+++ b/src/cinderstair/steward/__init__.py
@@ -0,0 +1,1 @@
+"""The steward: duties that one daemon does, under a lease."""
--- /dev/null
+++ b/src/cinderstair/steward/lead.py
@@ -0,0 +1,49 @@
+"""Who leads a database, in which term, and which replicas hold all it has acknowledged."""
+
+from dataclasses import dataclass
+
+from ..pitch.packer import Packer
+from ..pitch.unpacker import Unpacker
+
+SETTLED, MOVING = "settled", "moving"
+
+
+def leadKey(*, database: str) -> str:
+    return f"lead/{database}"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Lead:
+    """The value of a database's lead key.
+
+    inSync: durable at each of these, or not acknowledged; any of them may be promoted.
+    joining: acknowledgements wait for these too, and they may not be promoted yet.
+    """
+
+    term: int
+    primary: str
+    incarnation: int
+    state: str
+    inSync: tuple[str, ...] = ()
+    joining: tuple[str, ...] = ()
+
+    @property
+    def confirmers(self) -> tuple[str, ...]:
+        return (*self.inSync, *self.joining)
+
+    def bytes(self) -> bytes:
+        packer = Packer().u64(value=self.term).text(value=self.primary).u64(value=self.incarnation)
+        packer.u8(value=int(self.state == MOVING))
+        for names in (self.inSync, self.joining):
+            packer.many(values=names, each=lambda p, n: p.text(value=n))
+        return packer.bytes()
+
+
+def readLead(*, data: bytes) -> Lead:
+    unpacker = Unpacker(data=data)
+    term, primary, incarnation = unpacker.u64(), unpacker.text(), unpacker.u64()
+    state = MOVING if unpacker.u8() else SETTLED
+    inSync = tuple(unpacker.many(each=lambda u: u.text()))
+    joining = tuple(unpacker.many(each=lambda u: u.text()))
+    unpacker.done()
+    return Lead(term=term, primary=primary, incarnation=incarnation, state=state, inSync=inSync, joining=joining)
--- /dev/null
+++ b/src/cinderstair/steward/leadduty.py
@@ -0,0 +1,347 @@
+"""The duty of keeping a lead for every database; done by the holder of its lease alone."""
+
+import asyncio
+from collections import deque
+from dataclasses import replace
+
+from expression import Error, Ok, Result
+
+from ..charter.charter import Charter
+from ..crier.beat import EMPTYING
+from ..crier.news import QUIET_US, News
+from ..pitch.context import Context
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.ownermixin import OwnerMixin
+from ..stall.gauge import Reading, readGauge
+from ..stall.view import View
+from ..stall.yard import Yard
+from ..vault.lease import Lease
+from ..vault.register import Register
+from .lead import MOVING, SETTLED, Lead, leadKey
+from .platform import Platform
+
+TICK_US = 200_000
+RENEW_US = 900_000
+# why: every view older than a write has run out this long after the write was seen, clocks' drift included
+VIEW_MARGIN_US = 300_000
+LAG_US = 1_000_000
+FOLLOW_WAIT_US = 1_500_000
+FIRST_WAIT_US = 4_000_000
+LEAD_DUTY = "lead"
+
+
+class LeadDuty(OwnerMixin):
+    """Every step is a compare-and-set on the database's lead key, so two holders at once do no harm."""
+
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        register: Register,
+        view: View,
+        news: News,
+        yard: Yard,
+        platform: Platform,
+    ) -> None:
+        self.ctx = ctx
+        self.register = register
+        self.view = view
+        self.news = news
+        self.yard = yard
+        self.platform = platform
+        self.lease = Lease(ctx=ctx, register=register, duty=LEAD_DUTY)
+        self.startedUs = ctx.nowUs()
+        self.soughtUs = -RENEW_US
+        self.tending: set[str] = set()
+        self.passed: dict[str, deque[tuple[int, int, int]]] = {}
+        self.badSinceUs: dict[str, int] = {}
+        self.firstSeenUs: dict[str, int] = {}
+        self.reasons: dict[str, str] = {}
+        self.openQueue()
+        self.every(everyUs=TICK_US, command=self._tick, name="lead")
+
+    async def _tick(self) -> None:
+        nowUs = self.ctx.nowUs()
+        if nowUs - self.soughtUs >= RENEW_US:
+            self.soughtUs = nowUs
+            held = self.lease.held
+            if await self.lease.seek() and not held:
+                self.ctx.log.info("holds the duty of leads")
+                self.badSinceUs.clear()
+                self.passed.clear()
+        charter = self.view.charter
+        if not self.lease.held or not self.view.current or charter is None:
+            return
+        for database in charter.databases:
+            if database not in self.tending:
+                self.tending.add(database)
+                self.ctx.spawn(work=self._tend(database=database, charter=charter), name=f"tend.{database}")
+
+    async def _tend(self, *, database: str, charter: Charter) -> None:
+        try:
+            lead = self.view.lead(database=database)
+            if lead is None:
+                await self._first(database=database, charter=charter)
+            elif lead.state == MOVING:
+                await self._finish(database=database, charter=charter, lead=lead)
+            elif reason := await self._mustMove(lead=lead, charter=charter):
+                await self._startMove(database=database, charter=charter, lead=lead, reason=reason)
+            else:
+                await self._tendSets(database=database, charter=charter, lead=lead)
+        finally:
+            self.tending.discard(database)
+
+    async def _put(self, *, database: str, old: Lead | None, new: Lead) -> bool:
+        """The one way in which a lead changes: from exactly what this holder saw, while it holds the lease."""
+        if not self.lease.held:
+            return False
+        before = b"" if old is None else old.bytes()
+
+        def decide(current: bytes) -> Result[bytes, Fault]:
+            if current != before and current != new.bytes():
+                return Error(Fault(kind=Kind.versionTaken, why="the lead changed meanwhile"))
+            return Ok(new.bytes())
+
+        result = await self.register.change(key=leadKey(database=database), decide=decide)
+        self.view.takeOwn(key=leadKey(database=database), result=result)
+        if result.is_ok():
+            self.ctx.log.info(
+                "%s: term %d %s primary %s in sync %s joining %s",
+                database,
+                new.term,
+                new.state,
+                new.primary,
+                ",".join(new.inSync),
+                ",".join(new.joining),
+            )
+        return result.is_ok()
+
+    def _say(self, *, database: str, reason: str) -> None:
+        # why: a line only when the state changes; the same reason again is no news
+        if self.reasons.get(database) != reason:
+            self.reasons[database] = reason
+            if reason:
+                self.ctx.log.warning("%s: %s", database, reason)
+
+    async def _gauges(self, *, names: tuple[str, ...]) -> dict[str, Reading]:
+        results = await asyncio.gather(*(readGauge(yard=self.yard, name=n, direct=True) for n in names))
+        return {name: result.ok for name, result in zip(names, results, strict=True) if result.is_ok()}
+
+    async def _first(self, *, database: str, charter: Charter) -> None:
+        """Nobody was ever written down as lead: the backend with the furthest log begins."""
+        names = charter.databases[database]
+        sinceUs = self.firstSeenUs.setdefault(database, self.ctx.nowUs())
+        readings = await self._gauges(names=names)
+        waited = self.ctx.nowUs() - sinceUs > FIRST_WAIT_US
+        # why: a backend that isn't there yet may hold more than those that are, so the first start waits for it
+        if len(readings) < len(names) and not (waited and len(readings) > len(names) // 2):
+            self._say(database=database, reason=f"waits for backends: {len(readings)} of {len(names)} answer")
+            return
+        best = max(sorted(readings), key=lambda n: (readings[n].term, readings[n].received, readings[n].leads))
+        term = max(reading.term for reading in readings.values()) + 1
+        lead = Lead(term=term, primary=best, incarnation=readings[best].incarnation, state=MOVING)
+        await self._put(database=database, old=None, new=lead)
+
+    async def _mustMove(self, *, lead: Lead, charter: Charter) -> str:
+        """Why the lead can't stay where it is; empty where it can."""
+        name = lead.primary
+        if name not in charter.backends:
+            return "is no longer declared"
+        heard = self.news.latest(name=name)
+        if heard is not None and not self.news.quiet(name=name):
+            if heard.beat.state == EMPTYING:
+                return "is emptying"
+            # why: a primary that was restarted does not lead any more, whatever it thought before
+            if heard.beat.incarnation > lead.incarnation:
+                return "was restarted"
+            return ""
+        nowUs = self.ctx.nowUs()
+        heldUs = nowUs - self.startedUs
+        # why: a holder that hears nobody may be the one that is cut off; it must not judge by its own deafness
+        if heldUs < QUIET_US + TICK_US or not self.news.hearing:
+            return ""
+        reading = await readGauge(yard=self.yard, name=name, direct=True)
+        if reading.is_ok() and reading.ok.leads:
+            return ""
+        return "is quiet"
+
+    async def _candidate(
+        self, *, lead: Lead, charter: Charter, holders: tuple[str, ...]
+    ) -> tuple[str, Reading] | None:
+        """Of those that hold every acknowledged commit: reachable, willing, furthest, and not the one to leave."""
+        names = tuple(name for name in holders if name in charter.backends)
+        readings = await self._gauges(names=names)
+
+        def rank(name: str) -> tuple[bool, bool, int]:
+            heard = self.news.latest(name=name)
+            empties = heard is not None and heard.beat.state == EMPTYING
+            return not empties, name != lead.primary, readings[name].received
+
+        if not readings:
+            return None
+        best = max(sorted(readings), key=rank)
+        return best, readings[best]
+
+    async def _startMove(self, *, database: str, charter: Charter, lead: Lead, reason: str) -> None:
+        # why: the old primary has every commit it ever acknowledged, so where it lives it may lead again
+        holders = (*lead.inSync, lead.primary)
+        found = await self._candidate(lead=lead, charter=charter, holders=holders)
+        if found is None:
+            self._say(database=database, reason=f"{lead.primary} {reason}, and no replica in sync answers")
+            return
+        name, reading = found
+        # why: moving from an emptying primary to itself would be no move, only an outage
+        if name == lead.primary and reason == "is emptying":
+            self._say(database=database, reason=f"{lead.primary} {reason}, and nobody can take its place")
+            return
+        self.ctx.log.info("%s: %s %s; moves to %s", database, lead.primary, reason, name)
+        self.ctx.counters.add(name="leads.moved")
+        new = Lead(
+            term=lead.term + 1,
+            primary=name,
+            incarnation=reading.incarnation,
+            state=MOVING,
+            inSync=tuple(holder for holder in holders if holder != name),
+        )
+        await self._put(database=database, old=lead, new=new)
+
+    async def _finish(self, *, database: str, charter: Charter, lead: Lead) -> None:
+        """From moving to settled: promote, see it lead, see replicas follow, and outwait every older view."""
+        sinceUs = self.view.leadSinceUs[database]
+        promoted = await self.platform.promote(database=database, backend=lead.primary, term=lead.term)
+        reading = await readGauge(yard=self.yard, name=lead.primary, direct=True)
+        if reading.is_error() or not reading.ok.leads or reading.ok.term != lead.term:
+            await self._supersede(database=database, charter=charter, lead=lead, promoted=promoted)
+            return
+        base = reading.ok.received
+        waitUs = sinceUs + self.view.leaseUs + VIEW_MARGIN_US - self.ctx.nowUs()
+        if waitUs > 0:
+            await self.ctx.rest(waitUs=waitUs)
+        names = tuple(name for name in charter.databases.get(database, ()) if name != lead.primary)
+        followUntilUs = self.ctx.nowUs() + FOLLOW_WAIT_US
+        while True:
+            readings = await self._gauges(names=tuple(n for n in names if self.news.fit(name=n)))
+            # why: nothing is acknowledged before the lead is settled, so whoever has the new term's
+            # beginning now, and is waited for from the first commit on, is in sync
+            following = tuple(n for n, r in readings.items() if r.term == lead.term and r.received >= base)
+            if following or self.ctx.nowUs() > followUntilUs:
+                break
+            await self.ctx.rest(waitUs=100_000)
+        settled = replace(lead, state=SETTLED, inSync=following, joining=(), incarnation=reading.ok.incarnation)
+        if await self._put(database=database, old=lead, new=settled):
+            self._say(database=database, reason="")
+
+    async def _supersede(self, *, database: str, charter: Charter, lead: Lead, promoted: bool) -> None:
+        """The one placed does not lead. Another that holds everything takes its place, in a later term."""
+        sinceUs = self.view.leadSinceUs[database]
+        # why: a slow promotion is asked for again before anybody else is placed
+        if self.ctx.nowUs() - sinceUs < 2 * self.view.leaseUs and (promoted or self.news.fit(name=lead.primary)):
+            return
+        found = await self._candidate(lead=lead, charter=charter, holders=(*lead.inSync, lead.primary))
+        if found is None:
+            self._say(database=database, reason="no backend that holds everything answers")
+            return
+        holders = tuple(name for name in (*lead.inSync, lead.primary) if name != found[0])
+        new = Lead(
+            term=lead.term + 1,
+            primary=found[0],
+            incarnation=found[1].incarnation,
+            state=MOVING,
+            inSync=holders,
+        )
+        await self._put(database=database, old=lead, new=new)
+
+    async def _tendSets(self, *, database: str, charter: Charter, lead: Lead) -> None:
+        """Who is in sync: drops those that lag, and takes in those that follow, in two steps."""
+        names = charter.databases.get(database, ())
+        nowUs = self.ctx.nowUs()
+        readings = await self._gauges(names=tuple(n for n in names if self.news.fit(name=n)))
+        primary = readings.get(lead.primary)
+        if primary is None or not primary.leads or primary.term != lead.term:
+            return
+        passed = self.passed.setdefault(database, deque())
+        passed.append((nowUs, lead.term, primary.received))
+        while len(passed) > 1 and passed[1][0] <= nowUs - LAG_US:
+            passed.popleft()
+        # why: a replica keeps up if it has by now what the primary had a little while ago
+        mark = min((p for _, term, p in passed if term == lead.term), default=primary.received)
+        good = {n for n, r in readings.items() if r.term == lead.term and r.received >= mark}
+        changed = self._dropped(lead=lead, good=good, nowUs=nowUs)
+        if changed is None:
+            changed = await self._joined(database=database, lead=lead, names=names, good=good)
+        if changed is not None:
+            await self._put(database=database, old=lead, new=changed)
+        if lead.inSync:
+            self._say(database=database, reason="")
+        else:
+            self._say(database=database, reason="no replica is in sync; writes are denied")
+
+    def _dropped(self, *, lead: Lead, good: set[str], nowUs: int) -> Lead | None:
+        for name in lead.confirmers:
+            if name in good:
+                self.badSinceUs.pop(name, None)
+            else:
+                self.badSinceUs.setdefault(name, nowUs)
+        # why: one that has fallen silent by its own word or by the news goes at once, one that lags a bit later
+        bad = [
+            name
+            for name in lead.confirmers
+            if name in self.badSinceUs and (not self.news.fit(name=name) or nowUs - self.badSinceUs[name] > LAG_US)
+        ]
+        inSync = tuple(name for name in lead.inSync if name not in bad)
+        # why: the last one in sync stays, for it alone could replace a primary that dies now
+        if lead.inSync and not inSync:
+            inSync = lead.inSync[:1]
+        joining = tuple(name for name in lead.joining if name not in bad)
+        if (inSync, joining) == (lead.inSync, lead.joining):
+            return None
+        return replace(lead, inSync=inSync, joining=joining)
+
+    async def _joined(self, *, database: str, lead: Lead, names: tuple[str, ...], good: set[str]) -> Lead | None:
+        sinceUs = self.view.leadSinceUs[database]
+        expired = self.ctx.nowUs() - sinceUs > self.view.leaseUs + VIEW_MARGIN_US
+        if lead.joining and expired:
+            # why: from here on every commit waits for the joining ones; what came before is at or below this
+            mark = await readGauge(yard=self.yard, name=lead.primary, direct=True)
+            if mark.is_error() or mark.ok.term != lead.term:
+                return None
+            readings = await self._gauges(names=lead.joining)
+            arrived = tuple(
+                n
+                for n in lead.joining
+                if n in readings and readings[n].term == lead.term and readings[n].received >= mark.ok.received
+            )
+            if arrived:
+                joining = tuple(name for name in lead.joining if name not in arrived)
+                return replace(lead, inSync=(*lead.inSync, *arrived), joining=joining)
+            return None
+        fresh = tuple(n for n in names if n in good and n != lead.primary and n not in lead.confirmers)
+        if fresh and not lead.joining:
+            return replace(lead, joining=fresh)
+        return None
+
+    async def override(self, *, database: str, backend: str) -> Result[Lead, Fault]:
+        """An operator's explicit word: this backend leads, whatever may be lost by it."""
+        charter, lead = self.view.charter, self.view.lead(database=database)
+        if charter is None or backend not in charter.databases.get(database, ()):
+            return Error(Fault(kind=Kind.unknownDatabase, why=f"no backend '{backend}' of '{database}'"))
+        if lead is None:
+            return Error(Fault(kind=Kind.noLead, why=f"{database}: nobody leads yet"))
+        new = Lead(term=lead.term + 1, primary=backend, incarnation=0, state=MOVING)
+        self.ctx.log.warning(
+            "OVERRIDE by an operator: %s led by %s in term %d; acknowledged commits may be lost",
+            database,
+            backend,
+            new.term,
+        )
+        self.ctx.counters.add(name="leads.overridden")
+
+        def decide(current: bytes) -> Result[bytes, Fault]:
+            if current != lead.bytes():
+                return Error(Fault(kind=Kind.versionTaken, why="the lead changed meanwhile; look again"))
+            return Ok(new.bytes())
+
+        result = await self.register.change(key=leadKey(database=database), decide=decide)
+        self.view.takeOwn(key=leadKey(database=database), result=result)
+        return Ok(new) if result.is_ok() else Error(result.error)
--- /dev/null
+++ b/src/cinderstair/steward/slotduty.py
@@ -0,0 +1,68 @@
+"""The duty of freeing the slots of stalls that are gone for good."""
+
+from expression import Error, Ok, Result
+
+from ..crier.crowd import Crowd
+from ..crier.member import Standing
+from ..pitch.context import Context
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.ownermixin import OwnerMixin
+from ..stall.view import View
+from ..vault.lease import Lease
+from ..vault.register import Register
+from .slots import SLOTS_KEY, readSlots
+
+TICK_US = 1_000_000
+GRACE_US = 30_000_000
+SLOT_DUTY = "slots"
+
+
+class SlotDuty(OwnerMixin):
+    """A stall takes its slot itself; only this duty takes one away, after a time of grace."""
+
+    def __init__(
+        self, *, ctx: Context, register: Register, view: View, crowd: Crowd, graceUs: int = GRACE_US
+    ) -> None:
+        self.ctx = ctx
+        self.register = register
+        self.view = view
+        self.crowd = crowd
+        self.graceUs = graceUs
+        self.lease = Lease(ctx=ctx, register=register, duty=SLOT_DUTY)
+        self.goneSinceUs: dict[str, int] = {}
+        self.openQueue()
+        self.every(everyUs=TICK_US, command=self._tick, name="slots")
+
+    async def claim(self, *, name: str) -> None:
+        """Takes the lowest free id, or the one that stood under this name before."""
+        result = await self.register.change(
+            key=SLOTS_KEY, decide=lambda data: Ok(readSlots(data=data).withName(name=name).bytes())
+        )
+        self.view.takeOwn(key=SLOTS_KEY, result=result)
+
+    async def _tick(self) -> None:
+        if not await self.lease.seek() or not self.view.current:
+            self.goneSinceUs.clear()
+            return
+        nowUs = self.ctx.nowUs()
+        for _, name in self.view.slots.names:
+            standing = self.crowd.standing(name=name)
+            if standing is not None and standing <= Standing.suspect:
+                self.goneSinceUs.pop(name, None)
+            elif nowUs - self.goneSinceUs.setdefault(name, nowUs) > self.graceUs:
+                await self._free(name=name)
+
+    async def _free(self, *, name: str) -> None:
+        def decide(data: bytes) -> Result[bytes, Fault]:
+            slots = readSlots(data=data)
+            if slots.idOf(name=name) is None:
+                return Error(Fault(kind=Kind.versionTaken, why="freed already"))
+            return Ok(slots.without(name=name).bytes())
+
+        result = await self.register.change(key=SLOTS_KEY, decide=decide)
+        self.view.takeOwn(key=SLOTS_KEY, result=result)
+        self.goneSinceUs.pop(name, None)
+        if result.is_ok():
+            self.ctx.counters.add(name="slots.freed")
+            self.ctx.log.info("slot of %s is free", name)
--- /dev/null
+++ b/src/cinderstair/steward/slots.py
@@ -0,0 +1,45 @@
+"""The slot table: each stall's dense, stable id."""
+
+from dataclasses import dataclass
+
+from ..pitch.packer import Packer
+from ..pitch.unpacker import Unpacker
+
+SLOTS_KEY = "slots"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Slots:
+    """Names by id. A name keeps its id until it is freed; the lowest free id is used next."""
+
+    names: tuple[tuple[int, str], ...] = ()
+
+    def idOf(self, *, name: str) -> int | None:
+        return next((number for number, owner in self.names if owner == name), None)
+
+    @property
+    def ids(self) -> tuple[int, ...]:
+        return tuple(number for number, _ in self.names)
+
+    def withName(self, *, name: str) -> "Slots":
+        # why: a daemon that comes back under its name finds its old id, and nobody's share changes
+        if self.idOf(name=name) is not None:
+            return self
+        taken = set(self.ids)
+        free = next(number for number in range(len(taken) + 1) if number not in taken)
+        return Slots(names=tuple(sorted([*self.names, (free, name)])))
+
+    def without(self, *, name: str) -> "Slots":
+        return Slots(names=tuple(entry for entry in self.names if entry[1] != name))
+
+    def bytes(self) -> bytes:
+        return Packer().many(values=self.names, each=lambda p, e: p.u32(value=e[0]).text(value=e[1])).bytes()
+
+
+def readSlots(*, data: bytes) -> Slots:
+    if not data:
+        return Slots()
+    unpacker = Unpacker(data=data)
+    names = unpacker.many(each=lambda u: (u.u32(), u.text()))
+    unpacker.done()
+    return Slots(names=tuple(names))
--- /dev/null
+++ b/src/cinderstair/vault/acceptor.py
@@ -0,0 +1,193 @@
+"""The owner of a vault's cells and leases: one vote of the register."""
+
+import asyncio
+from collections.abc import Callable
+
+from ..pitch.context import Context
+from ..pitch.packer import Packer
+from ..pitch.unpacker import Unpacker
+from .ballot import Ballot, readBallot
+from .cell import Cell
+from .roster import Roster, readRoster
+from .store import Store, cellEntry, rosterEntry
+
+OK, BEATEN, STALE, AHEAD, NO_VOTE = 0, 1, 2, 3, 4
+ROSTER_KEY = "roster"
+LONGEST_LEASE_US = 4_000_000
+MOST_VALUE_BYTES = 4 * 1024 * 1024
+Applied = tuple[bytes, list[bytes]]
+
+
+class Acceptor:
+    """Works through its commands in batches: all are applied, one sync covers them, then all are answered."""
+
+    def __init__(self, *, ctx: Context, store: Store, fresh: bool, halt: Callable[[str], None]) -> None:
+        self.ctx = ctx
+        self.store = store
+        self.held = store.held
+        self.halt = halt
+        self.roster: Roster | None = readRoster(data=self.held.roster) if self.held.roster else None
+        self.leases: dict[str, tuple[int, int]] = {}
+        # why: what was granted before a restart is forgotten, so nothing is granted until it has run out
+        self.grantsFromUs = ctx.nowUs() + (0 if fresh else LONGEST_LEASE_US)
+        self.commands: asyncio.Queue[tuple[Callable[[], Applied], asyncio.Future[bytes]]] = asyncio.Queue()
+        self.halted = False
+        ctx.spawn(work=self._work(), name="acceptor")
+
+    async def _work(self) -> None:
+        while not self.halted:
+            batch = [await self.commands.get()]
+            while not self.commands.empty():
+                batch.append(self.commands.get_nowait())
+            applied = [(command(), future) for command, future in batch]
+            entries = [entry for (_, each), _ in applied for entry in each]
+            if entries:
+                try:
+                    self.store.save(entries=entries)
+                except OSError as error:
+                    # why: after a failed sync nobody knows what the disk holds; no answer may leave, now or later
+                    self.halted = True
+                    self.halt(f"disk failed: {error}")
+                    return
+                self.ctx.counters.add(name="vault.syncs")
+            for (response, _), future in applied:
+                if not future.done():
+                    future.set_result(response)
+
+    async def _order(self, *, command: Callable[[], Applied]) -> bytes:
+        future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self.commands.put_nowait((command, future))
+        return await future
+
+    def _barred(self, *, epoch: int, key: str) -> bytes | None:
+        """Why a vote can't be given under this epoch; None where it can."""
+        mine = 0 if self.roster is None else self.roster.epoch
+        if epoch < mine and self.roster is not None:
+            return Packer().u8(value=STALE).blob(value=self.roster.bytes()).bytes()
+        if epoch > mine:
+            return Packer().u8(value=AHEAD).bytes()
+        # why: before there is a roster the seeds may vote on the roster and on nothing else
+        if self.roster is None and key != ROSTER_KEY:
+            return Packer().u8(value=NO_VOTE).bytes()
+        if self.roster is not None and not self.roster.has(ident=self.held.ident):
+            return Packer().u8(value=NO_VOTE).bytes()
+        return None
+
+    def _cellAnswer(self, *, status: int, cell: Cell) -> bytes:
+        packer = Packer().u8(value=status)
+        cell.promised.write(packer=packer)
+        cell.accepted.write(packer=packer)
+        return packer.blob(value=cell.value).bytes()
+
+    async def prepare(self, unpacker: Unpacker) -> bytes:
+        epoch, key = unpacker.u32(), unpacker.text()
+        ballot = readBallot(unpacker=unpacker)
+        unpacker.done()
+        return await self._order(command=lambda: self._prepare(epoch=epoch, key=key, ballot=ballot))
+
+    def _prepare(self, *, epoch: int, key: str, ballot: Ballot) -> Applied:
+        barred = self._barred(epoch=epoch, key=key)
+        if barred is not None:
+            return barred, []
+        cell = self.held.cells.get(key, Cell())
+        # why: a promise once given to a ballot shuts out every one below it, and equal ones but its own
+        if ballot <= cell.promised:
+            return self._cellAnswer(status=BEATEN, cell=cell), []
+        cell = Cell(promised=ballot, accepted=cell.accepted, value=cell.value)
+        self.held.cells[key] = cell
+        return self._cellAnswer(status=OK, cell=cell), [cellEntry(key=key, cell=cell)]
+
+    async def accept(self, unpacker: Unpacker) -> bytes:
+        epoch, key = unpacker.u32(), unpacker.text()
+        ballot, value = readBallot(unpacker=unpacker), unpacker.blob()
+        unpacker.done()
+        if len(value) > MOST_VALUE_BYTES:
+            raise ValueError("value too large")
+        return await self._order(command=lambda: self._accept(epoch=epoch, key=key, ballot=ballot, value=value))
+
+    def _accept(self, *, epoch: int, key: str, ballot: Ballot, value: bytes) -> Applied:
+        barred = self._barred(epoch=epoch, key=key)
+        if barred is not None:
+            return barred, []
+        cell = self.held.cells.get(key, Cell())
+        if ballot < cell.promised:
+            return self._cellAnswer(status=BEATEN, cell=cell), []
+        cell = Cell(promised=ballot, accepted=ballot, value=value)
+        self.held.cells[key] = cell
+        return self._cellAnswer(status=OK, cell=Cell(promised=ballot, accepted=ballot)), [
+            cellEntry(key=key, cell=cell)
+        ]
+
+    async def read(self, unpacker: Unpacker) -> bytes:
+        epoch, key = unpacker.u32(), unpacker.text()
+        unpacker.done()
+        return await self._order(command=lambda: self._read(epoch=epoch, key=key))
+
+    def _read(self, *, epoch: int, key: str) -> Applied:
+        barred = self._barred(epoch=epoch, key=key)
+        if barred is not None:
+            return barred, []
+        return self._cellAnswer(status=OK, cell=self.held.cells.get(key, Cell())), []
+
+    async def vector(self, unpacker: Unpacker) -> bytes:
+        epoch = unpacker.u32()
+        unpacker.done()
+        return await self._order(command=lambda: self._vector(epoch=epoch))
+
+    def _vector(self, *, epoch: int) -> Applied:
+        barred = self._barred(epoch=epoch, key="")
+        if barred is not None:
+            return barred, []
+        packer = Packer().u8(value=OK)
+        cells = [(key, cell) for key, cell in self.held.cells.items() if cell.value]
+
+        def each(p: Packer, entry: tuple[str, Cell]) -> None:
+            entry[1].accepted.write(packer=p.text(value=entry[0]))
+
+        return packer.many(values=cells, each=each).bytes(), []
+
+    async def lease(self, unpacker: Unpacker) -> bytes:
+        epoch, duty, holder, lengthUs = unpacker.u32(), unpacker.text(), unpacker.u64(), unpacker.u64()
+        unpacker.done()
+        return await self._order(
+            command=lambda: self._lease(epoch=epoch, duty=duty, holder=holder, lengthUs=lengthUs)
+        )
+
+    def _lease(self, *, epoch: int, duty: str, holder: int, lengthUs: int) -> Applied:
+        barred = self._barred(epoch=epoch, key=f"lease/{duty}")
+        if barred is not None:
+            return barred, []
+        nowUs = self.ctx.nowUs()
+        current, untilUs = self.leases.get(duty, (0, 0))
+        free = untilUs <= nowUs or current == holder
+        # why: a length of nothing gives the lease back, and only its holder may do so
+        if lengthUs == 0:
+            if current == holder:
+                self.leases.pop(duty, None)
+            return Packer().u8(value=OK).bytes(), []
+        if nowUs < self.grantsFromUs or lengthUs > LONGEST_LEASE_US or not free:
+            return Packer().u8(value=BEATEN).bytes(), []
+        self.leases[duty] = (holder, nowUs + lengthUs)
+        return Packer().u8(value=OK).bytes(), []
+
+    async def adopt(self, unpacker: Unpacker) -> bytes:
+        data = unpacker.blob()
+        unpacker.done()
+        return await self._order(command=lambda: self._adopt(data=data))
+
+    def _adopt(self, *, data: bytes) -> Applied:
+        roster = readRoster(data=data)
+        mine = 0 if self.roster is None else self.roster.epoch
+        # why: epochs only rise; an old roster that arrives again changes nothing
+        if roster.epoch <= mine:
+            return Packer().u8(value=OK).bytes(), []
+        joined = roster.has(ident=self.held.ident) and (
+            self.roster is None or not self.roster.has(ident=self.held.ident)
+        )
+        # why: the vault whose place this one takes may have granted a lease that still runs
+        if joined and roster.epoch > 1:
+            self.grantsFromUs = self.ctx.nowUs() + LONGEST_LEASE_US
+        self.roster = roster
+        self.held.roster = data
+        self.ctx.log.info("roster epoch %d: %s", roster.epoch, ",".join(v.name for v in roster.voters))
+        return Packer().u8(value=OK).bytes(), [rosterEntry(data=data)]
--- /dev/null
+++ b/src/cinderstair/vault/lease.py
@@ -0,0 +1,53 @@
+"""A duty's lease: granted by a majority, given up by its holder before it ends."""
+
+from ..pitch.context import Context
+from ..pitch.desk import LEASE
+from ..pitch.packer import Packer
+from .acceptor import OK
+from .register import Register
+
+LENGTH_US = 3_000_000
+# why: monotonic clocks may run apart a little; the holder stops well before any vault thinks it ended
+MARGIN_US = 300_000
+
+
+class Lease:
+    """Counted from the start of the asking, so the holder's end is never later than a granter's."""
+
+    def __init__(self, *, ctx: Context, register: Register, duty: str) -> None:
+        self.ctx = ctx
+        self.register = register
+        self.duty = duty
+        self.untilUs = 0
+
+    @property
+    def held(self) -> bool:
+        return self.ctx.nowUs() < self.untilUs
+
+    async def _ask(self, *, lengthUs: int) -> int:
+        roster = self.register.roster
+        if roster is None:
+            return 0
+        packer = Packer().u8(value=LEASE).u32(value=roster.epoch).text(value=self.duty)
+        body = packer.u64(value=self.register.proposer).u64(value=lengthUs).bytes()
+
+        def enough(answers: list[bytes]) -> bool:
+            return sum(answer[0] == OK for answer in answers) >= roster.majority
+
+        answers = await self.register.poll(roster=roster, body=body, enough=enough)
+        return sum(answer[0] == OK for answer in answers) - roster.majority
+
+    async def seek(self) -> bool:
+        """Takes or renews the lease; a minority's grants are given back at once."""
+        startUs = self.ctx.nowUs()
+        over = await self._ask(lengthUs=LENGTH_US)
+        if over >= 0 and self.register.roster is not None:
+            self.untilUs = startUs + LENGTH_US - MARGIN_US
+        elif not self.held:
+            # why: two that each hold a minority would shut each other out until both ran out
+            await self._ask(lengthUs=0)
+        return self.held
+
+    async def drop(self) -> None:
+        self.untilUs = 0
+        await self._ask(lengthUs=0)
--- /dev/null
+++ b/src/cinderstair/vault/register.py
@@ -0,0 +1,253 @@
+"""The register's client: ballots on keys, highest version wins, no log and no leader."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from ..pitch.context import Context
+from ..pitch.desk import ACCEPT, ADOPT, HELLO, PREPARE, READ, VECTOR
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.packer import Packer
+from ..pitch.unpacker import Unpacker
+from .acceptor import AHEAD, BEATEN, OK, ROSTER_KEY, STALE
+from .ballot import BLANK, Ballot, readBallot
+from .roster import Roster, Voter, readRoster, seedRoster
+
+ASK_WAIT_US = 700_000
+ROUNDS = 8
+Decide = Callable[[bytes], Result[bytes, Fault]]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Found:
+    """A value known to be held by a majority, and the ballot that brought it there."""
+
+    ballot: Ballot
+    value: bytes
+
+
+@dataclass(frozen=True, kw_only=True)
+class Vote:
+    """One vault's answer."""
+
+    status: int
+    promised: Ballot = BLANK
+    accepted: Ballot = BLANK
+    value: bytes = b""
+
+
+def readVote(*, data: bytes) -> Vote:
+    unpacker = Unpacker(data=data)
+    status = unpacker.u8()
+    if status not in (OK, BEATEN):
+        return Vote(status=status)
+    promised, accepted = readBallot(unpacker=unpacker), readBallot(unpacker=unpacker)
+    value = unpacker.blob()
+    unpacker.done()
+    return Vote(status=status, promised=promised, accepted=accepted, value=value)
+
+
+class Register:
+    """Each key is changed by its own ballot: prepare at a majority, then accept at a majority."""
+
+    def __init__(self, *, ctx: Context, seeds: tuple[str, ...]) -> None:
+        self.ctx = ctx
+        self.seeds = seeds
+        self.proposer = ctx.luck.getrandbits(63) | 1
+        self.count = 0
+        self.roster: Roster | None = None
+
+    async def findRoster(self) -> bool:
+        """Asks the seeds, and every vault known, for the newest roster."""
+        known = () if self.roster is None else tuple(v.address for v in self.roster.voters)
+        body = Packer().u8(value=HELLO).u64(value=0).text(value="").text(value="").bytes()
+        asks = [self.ctx.net.ask(address=a, body=body, waitUs=ASK_WAIT_US) for a in dict.fromkeys(self.seeds + known)]
+        for result in await asyncio.gather(*asks):
+            if result.is_ok():
+                unpacker = Unpacker(data=result.ok)
+                unpacker.u8()
+                data = unpacker.blob()
+                if data:
+                    self.learnRoster(roster=readRoster(data=data))
+        return self.roster is not None
+
+    def learnRoster(self, *, roster: Roster) -> None:
+        if self.roster is None or roster.epoch > self.roster.epoch:
+            self.roster = roster
+
+    async def poll(self, *, roster: Roster, body: bytes, enough: Callable[[list[bytes]], bool]) -> list[bytes]:
+        """Asks all voters and returns as soon as the answers that came are enough, or all have come."""
+        answers: list[bytes] = []
+
+        async def one(voter: Voter) -> None:
+            result = await self.ctx.net.ask(address=voter.address, body=body, waitUs=ASK_WAIT_US)
+            if result.is_ok() and not self._heed(data=result.ok, voter=voter, roster=roster):
+                answers.append(result.ok)
+
+        pending = {self.ctx.spawn(work=one(voter)) for voter in roster.voters}
+        while pending and not enough(answers):
+            _, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        return answers
+
+    def _heed(self, *, data: bytes, voter: Voter, roster: Roster) -> bool:
+        """Takes in what an answer says of rosters; True where it was that and no vote."""
+        status = data[0] if data else AHEAD
+        if status == STALE:
+            unpacker = Unpacker(data=data[1:])
+            self.learnRoster(roster=readRoster(data=unpacker.blob()))
+            return True
+        if status == AHEAD and roster.epoch > 0:
+            # why: a vault that missed the roster's change can vote again as soon as it is told
+            self.ctx.spawn(work=self._tell(address=voter.address, roster=roster))
+            return True
+        return status not in (OK, BEATEN)
+
+    async def _tell(self, *, address: str, roster: Roster) -> bool:
+        body = Packer().u8(value=ADOPT).blob(value=roster.bytes()).bytes()
+        result = await self.ctx.net.ask(address=address, body=body, waitUs=ASK_WAIT_US)
+        return result.is_ok()
+
+    async def tellAll(self, *, roster: Roster) -> int:
+        """How many of a roster's voters have taken it as theirs."""
+        asks = [self._tell(address=voter.address, roster=roster) for voter in roster.voters]
+        return sum(await asyncio.gather(*asks))
+
+    def _ballot(self, *, above: Ballot) -> Ballot:
+        self.count = max(self.count, above.turn) + 1
+        return Ballot(self.count, self.proposer)
+
+    async def change(self, *, key: str, decide: Decide, founding: bool = False) -> Result[Found, Fault]:
+        """Replaces a key's value by what `decide` makes of the current one.
+
+        An error from `decide` is given back only after the value it judged is held by a majority.
+        registerUnreachable: nothing was written. registerUnsure: it may come to be, or may not.
+        """
+        sent = False
+        for round_ in range(ROUNDS):
+            if round_:
+                # why: two proposers that beat each other must fall out of step
+                await self.ctx.rest(waitUs=self.ctx.luck.randrange(5_000, 40_000 * round_))
+            roster = seedRoster(addresses=self.seeds) if founding else self.roster
+            if roster is None and not await self.findRoster():
+                continue
+            roster = roster or self.roster
+            assert roster is not None
+            outcome = await self._round(key=key, decide=decide, roster=roster)
+            if isinstance(outcome, Result):
+                return outcome
+            sent = sent or outcome
+            # why: once our value may have been accepted somewhere, a second decision could take effect twice
+            if sent:
+                return await self._settle(key=key)
+        kind = Kind.registerUnsure if sent else Kind.registerUnreachable
+        return Error(Fault(kind=kind, why=f"{key}: no majority of vaults"))
+
+    async def _settle(self, *, key: str) -> Result[Found, Fault]:
+        return Error(Fault(kind=Kind.registerUnsure, why=f"{key}: a write was cut short; read it back"))
+
+    async def _round(self, *, key: str, decide: Decide, roster: Roster) -> Result[Found, Fault] | bool:
+        """One ballot. False: it failed before any value was sent; True: a value was sent, and no majority."""
+        ballot = self._ballot(above=BLANK)
+        packer = Packer().u8(value=PREPARE).u32(value=roster.epoch).text(value=key)
+        ballot.write(packer=packer)
+        votes = await self._votes(roster=roster, body=packer.bytes(), status=OK)
+        granted = [vote for vote in votes if vote.status == OK]
+        for vote in votes:
+            self.count = max(self.count, vote.promised.turn)
+        if len(granted) < roster.majority:
+            return False
+        newest = max(granted, key=lambda vote: vote.accepted)
+        decision = decide(newest.value)
+        # why: a decision against the change still rests on a value, which must be sure to stay
+        value = decision.ok if decision.is_ok() else newest.value
+        if decision.is_error() and not newest.value:
+            return Error(decision.error)
+        packer = Packer().u8(value=ACCEPT).u32(value=roster.epoch).text(value=key)
+        ballot.write(packer=packer)
+        packer.blob(value=value)
+        votes = await self._votes(roster=roster, body=packer.bytes(), status=OK)
+        if sum(vote.status == OK for vote in votes) < roster.majority:
+            return decision.is_ok()
+        if decision.is_error():
+            return Error(decision.error)
+        return Ok(Found(ballot=ballot, value=value))
+
+    async def _votes(self, *, roster: Roster, body: bytes, status: int) -> list[Vote]:
+        def enough(answers: list[bytes]) -> bool:
+            good = sum(answer[0] == status for answer in answers)
+            bad = len(answers) - good
+            return good >= roster.majority or bad > len(roster.voters) - roster.majority
+
+        answers = await self.poll(roster=roster, body=body, enough=enough)
+        return [readVote(data=answer) for answer in answers]
+
+    async def read(self, *, key: str) -> Result[Found, Fault]:
+        """The key's value as a majority holds it; one found on fewer is completed first."""
+        for _ in range(3):
+            if self.roster is None and not await self.findRoster():
+                continue
+            roster = self.roster
+            assert roster is not None
+            body = Packer().u8(value=READ).u32(value=roster.epoch).text(value=key).bytes()
+            votes = await self._votes(roster=roster, body=body, status=OK)
+            granted = [vote for vote in votes if vote.status == OK]
+            if len(granted) >= roster.majority:
+                newest = max(granted, key=lambda vote: vote.accepted)
+                if sum(vote.accepted == newest.accepted for vote in granted) >= roster.majority:
+                    return Ok(Found(ballot=newest.accepted, value=newest.value))
+            completed = await self.change(key=key, decide=Ok)
+            if completed.is_ok():
+                return completed
+        return Error(Fault(kind=Kind.registerUnreachable, why=f"{key}: no majority of vaults"))
+
+    async def vector(self) -> Result[dict[str, Ballot], Fault]:
+        """For every key, the highest ballot that a majority of vaults have accepted anything at."""
+        if self.roster is None and not await self.findRoster():
+            return Error(Fault(kind=Kind.registerUnreachable, why="no roster"))
+        roster = self.roster
+        assert roster is not None
+        body = Packer().u8(value=VECTOR).u32(value=roster.epoch).bytes()
+        answers = await self.poll(roster=roster, body=body, enough=lambda got: len(got) >= roster.majority)
+        if len(answers) < roster.majority:
+            return Error(Fault(kind=Kind.registerUnreachable, why="no majority of vaults"))
+        highest: dict[str, Ballot] = {}
+        for answer in answers:
+            unpacker = Unpacker(data=answer[1:])
+            for key, ballot in unpacker.many(each=lambda u: (u.text(), readBallot(unpacker=u))):
+                highest[key] = max(highest.get(key, BLANK), ballot)
+        return Ok(highest)
+
+    async def changeRoster(self, *, alter: Callable[[Roster], Roster]) -> Result[Roster, Fault]:
+        """Moves to the next roster, which differs by one voter, so that every majority of the two meets."""
+        highest = await self.vector()
+        if highest.is_error():
+            return Error(highest.error)
+        # why: what only the roster before last held must be held by this one before another change is made
+        for key in highest.ok:
+            kept = await self.change(key=key, decide=Ok)
+            if kept.is_error():
+                return Error(kept.error)
+        current = self.roster
+        assert current is not None
+        wanted = alter(current)
+        changed = {v.ident for v in wanted.voters} ^ {v.ident for v in current.voters}
+        if len(changed) != 1 or wanted.epoch != current.epoch + 1:
+            return Error(Fault(kind=Kind.internal, why="a roster changes by one voter at a time"))
+
+        def decide(data: bytes) -> Result[bytes, Fault]:
+            # why: another change may have come first, and ours was made against the roster before it
+            if data and readRoster(data=data).epoch != current.epoch:
+                return Error(Fault(kind=Kind.versionTaken, why="another change of roster came first"))
+            return Ok(wanted.bytes())
+
+        chosen = await self.change(key=ROSTER_KEY, decide=decide)
+        if chosen.is_error():
+            return Error(chosen.error)
+        self.learnRoster(roster=wanted)
+        told = await self.tellAll(roster=wanted)
+        if told < wanted.majority:
+            return Error(Fault(kind=Kind.registerUnsure, why="the new roster is not known to a majority yet"))
+        return Ok(wanted)
--- /dev/null
+++ b/src/cinderstair/vault/vault.py
@@ -0,0 +1,145 @@
+"""The vault daemon: finds the others, founds or learns the roster, and votes."""
+
+import asyncio
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from ..crier.crowd import Crowd
+from ..crier.member import Member
+from ..pitch.context import Context
+from ..pitch.desk import ACCEPT, ADOPT, HELLO, LEASE, PREPARE, READ, VECTOR, Desk
+from ..pitch.fault import Fault
+from ..pitch.packer import Packer
+from ..pitch.settings import Settings
+from ..pitch.unpacker import Unpacker
+from .acceptor import ROSTER_KEY, Acceptor
+from .register import Register
+from .roster import Roster, Voter, readRoster, readVoter, writeVoter
+from .store import Store, identEntry
+
+HELLO_EVERY_US = 250_000
+HELLO_WAIT_US = 500_000
+
+
+class Vault:
+    """Holds one vote under the identity on its disk; with a blank disk it is a stranger until a roster has it."""
+
+    def __init__(self, *, ctx: Context, settings: Settings, halt: Callable[[str], None]) -> None:
+        self.ctx = ctx
+        self.settings = settings
+        self.halt = halt
+        self.desk = Desk()
+        self.strangers: dict[str, Voter] = {}
+        self.register = Register(ctx=ctx, seeds=settings.seeds)
+        self.me: Voter | None = None
+        self.acceptor: Acceptor | None = None
+        self.crowd: Crowd | None = None
+
+    async def start(self) -> Result[None, Fault]:
+        opened = Store(disk=self.ctx.disk).open()
+        if opened.is_error():
+            return Error(opened.error)
+        store = opened.ok
+        fresh = store.held.ident == 0
+        if fresh:
+            store.held.ident = self.ctx.luck.getrandbits(62) | 1
+            store.save(entries=[identEntry(ident=store.held.ident)])
+        self.me = Voter(ident=store.held.ident, name=self.settings.name, address=self.settings.records)
+        self.strangers[self.me.name] = self.me
+        acceptor = Acceptor(ctx=self.ctx, store=store, fresh=fresh, halt=self.halt)
+        self.acceptor = acceptor
+        for kind, answer in (
+            (PREPARE, acceptor.prepare),
+            (ACCEPT, acceptor.accept),
+            (READ, acceptor.read),
+            (VECTOR, acceptor.vector),
+            (LEASE, acceptor.lease),
+            (ADOPT, acceptor.adopt),
+            (HELLO, self._hello),
+        ):
+            self.desk.open(kind=kind, answer=answer)
+        # why: the seeds are vaults, so it is among them that the daemons find one another
+        me = Member(
+            name=self.settings.name,
+            role="vault",
+            site=self.settings.site,
+            records=self.settings.records,
+            http=self.settings.http,
+            incarnation=1,
+        )
+        self.crowd = Crowd(ctx=self.ctx, desk=self.desk, me=me, seeds=self.settings.seeds)
+        await self.ctx.net.listen(address=self.settings.records, answer=self.desk.answer)
+        self.ctx.spawn(work=self._meet(), name="vault.meet")
+        self.ctx.log.info("vault %s ident %x", self.me.name, self.me.ident)
+        return Ok(None)
+
+    @property
+    def roster(self) -> Roster | None:
+        return None if self.acceptor is None else self.acceptor.roster
+
+    async def _hello(self, unpacker: Unpacker) -> bytes:
+        voter = readVoter(unpacker=unpacker)
+        unpacker.done()
+        # why: an asker without an identity is a stall, which only wants the roster
+        if voter.ident:
+            self.strangers[voter.name] = voter
+        roster = b"" if self.roster is None else self.roster.bytes()
+        packer = Packer().u8(value=0).blob(value=roster)
+        packer.many(values=self.strangers.values(), each=lambda p, v: writeVoter(packer=p, voter=v))
+        return packer.bytes()
+
+    async def _meet(self) -> None:
+        """Greets the seeds until a roster is known, and now and then after, to hear of a newer one."""
+        while True:
+            await self._greet()
+            if self.roster is None:
+                await self._found()
+            quiet = 8 if self.roster is not None else 1
+            await self.ctx.rest(waitUs=HELLO_EVERY_US * quiet + self.ctx.luck.randrange(50_000))
+
+    async def _greet(self) -> None:
+        assert self.me is not None and self.acceptor is not None
+        packer = Packer().u8(value=HELLO)
+        writeVoter(packer=packer, voter=self.me)
+        known = () if self.roster is None else tuple(v.address for v in self.roster.voters)
+        addresses = [a for a in dict.fromkeys(self.settings.seeds + known) if a != self.me.address]
+        asks = [self.ctx.net.ask(address=a, body=packer.bytes(), waitUs=HELLO_WAIT_US) for a in addresses]
+        for result in await asyncio.gather(*asks):
+            if result.is_error():
+                continue
+            unpacker = Unpacker(data=result.ok)
+            unpacker.u8()
+            data = unpacker.blob()
+            for voter in unpacker.many(each=lambda u: readVoter(unpacker=u)):
+                if voter.name != self.me.name:
+                    self.strangers[voter.name] = voter
+            if data:
+                await self._adopt(data=data)
+
+    async def _adopt(self, *, data: bytes) -> None:
+        assert self.acceptor is not None
+        await self.acceptor.adopt(Unpacker(data=Packer().blob(value=data).bytes()))
+
+    async def _found(self) -> None:
+        """A blank seed that has met as many vaults as found the system puts their roster to the seeds' vote."""
+        assert self.me is not None
+        enough = len(self.strangers) >= self.settings.foundingVaults
+        if self.me.address not in self.settings.seeds or not enough:
+            return
+        voters = tuple(sorted(self.strangers.values(), key=lambda v: v.name)[: self.settings.foundingVaults])
+        mine = Roster(epoch=1, voters=voters).bytes()
+        chosen = await self.register.change(key=ROSTER_KEY, decide=lambda data: Ok(data or mine), founding=True)
+        # why: a roster counts only once a majority of the seeds hold it, and the first one chosen stays
+        if chosen.is_ok() and readRoster(data=chosen.ok.value).epoch == 1:
+            await self._adopt(data=chosen.ok.value)
+        elif self.register.roster is not None:
+            await self._adopt(data=self.register.roster.bytes())
+
+    async def drain(self) -> None:
+        """A planned stop: every answer given was synced, so there is nothing to finish but the goodbye."""
+        if self.crowd is not None:
+            await self.crowd.leave()
+
+    def resettle(self, *, settings: Settings) -> None:
+        self.settings = settings
--- /dev/null
+++ b/steps/sharesteps.py
@@ -0,0 +1,146 @@
+"""Steps for the share."""
+
+import random
+from collections import Counter
+from typing import Any
+
+from behave import given, then, when
+
+from cinderstair.stall.share import allotment, shuffled, subset, users, withReplacements
+
+RECORDED = {
+    0: "b04 b08 b05 b11 b10 b03 b00 b02 b01 b07 b09 b06",
+    1: "b01 b03 b07 b10 b04 b06 b02 b11 b08 b09 b00 b05",
+}
+
+
+def names(*, count: int) -> list[str]:
+    return [f"b{number:02}" for number in range(count)]
+
+
+def subsets(*, context: Any) -> list[tuple[str, ...]]:
+    return [
+        subset(names=context.names, stallId=stallId, subsetSize=context.size) for stallId in range(context.stalls)
+    ]
+
+
+@given("{backends:d} backends, {stalls:d} stalls and subsets of {size:d}")
+def given_sizes(context: Any, backends: int, stalls: int, size: int) -> None:
+    context.names, context.stalls, context.size = names(count=backends), stalls, size
+
+
+@then("every backend is in between {least:d} and {most:d} subsets")
+def then_spread(context: Any, least: int, most: int) -> None:
+    counts = Counter(name for each in subsets(context=context) for name in each)
+    found = [counts[name] for name in context.names]
+    assert (min(found), max(found)) == (least, most), (min(found), max(found))
+
+
+@then("every stall's subset holds between {least:d} and {most:d} backends")
+def then_sizes(context: Any, least: int, most: int) -> None:
+    found = [len(each) for each in subsets(context=context)]
+    assert min(found) >= least and max(found) <= most, found
+
+
+@then("stalls {first:d} to {last:d} hold every backend once")
+def then_round(context: Any, first: int, last: int) -> None:
+    held = [name for each in subsets(context=context)[first : last + 1] for name in each]
+    assert sorted(held) == context.names, held
+
+
+@then("no two rounds deal in the same order")
+def then_orders(context: Any) -> None:
+    orders = {tuple(shuffled(names=context.names, seed=seed)) for seed in range(50)}
+    assert len(orders) == 50
+
+
+@then("the order of 12 backends in rounds 0 and 1 is the recorded one")
+def then_recorded(context: Any) -> None:
+    for seed, order in RECORDED.items():
+        assert " ".join(shuffled(names=names(count=12), seed=seed)) == order, (
+            seed,
+            " ".join(shuffled(names=names(count=12), seed=seed)),
+        )
+
+
+@then("a list that arrives in another order gives the same subsets")
+def then_canonical(context: Any) -> None:
+    before = subsets(context=context)
+    context.names = context.names[::-1]
+    assert subsets(context=context) == before
+
+
+@when("backend {number:d} becomes unfit")
+def when_unfit(context: Any, number: int) -> None:
+    context.before = subsets(context=context)
+    context.lost = context.names[number]
+    context.after = [
+        withReplacements(
+            names=context.names, stallId=stallId, subsetSize=context.size, unfit=frozenset([context.lost])
+        )
+        for stallId in range(context.stalls)
+    ]
+
+
+@then("each stall that held it opens one replacement and closes nothing else")
+def then_one_replacement(context: Any) -> None:
+    held = 0
+    for before, after in zip(context.before, context.after, strict=True):
+        expected = 1 if context.lost in before else 0
+        held += expected
+        assert len(set(after) - set(before)) == expected
+        assert set(before) - set(after) == ({context.lost} if expected else set())
+    assert held > 0
+
+
+@then("the replacements are spread over at least {count:d} backends")
+def then_replacements(context: Any, count: int) -> None:
+    new = {name for b, a in zip(context.before, context.after, strict=True) for name in set(a) - set(b)}
+    assert len(new) >= count, new
+
+
+@then("its return brings every subset back as it was")
+def then_return(context: Any) -> None:
+    assert subsets(context=context) == context.before
+
+
+@then("the spread by design is {design:g} and the spread by random draws is above {drawn:g}")
+def then_random(context: Any, design: float, drawn: float) -> None:
+    counts = Counter(name for each in subsets(context=context) for name in each)
+    assert max(counts.values()) / min(counts.values()) == design
+    luck = random.Random(20)
+    randoms = Counter(name for _ in range(context.stalls) for name in luck.sample(context.names, context.size))
+    assert max(randoms.values()) / min(randoms.values()) > drawn
+
+
+@then("the allotments of a cap of {cap:d} add up to it and differ by at most 1")
+def then_cap(context: Any, cap: int) -> None:
+    for name in context.names:
+        ids = users(names=context.names, stallIds=range(context.stalls), subsetSize=context.size, name=name)
+        parts = [allotment(cap=cap, userIds=ids, stallId=stallId) for stallId in ids]
+        assert sum(parts) == cap and max(parts) - min(parts) <= 1, parts
+
+
+@when("a stall joins")
+def when_joins(context: Any) -> None:
+    context.before = subsets(context=context)
+    context.stalls += 1
+
+
+@when("a stall is lost")
+def when_lost(context: Any) -> None:
+    context.before = subsets(context=context)[:-1]
+    context.stalls -= 1
+
+
+@when("a backend is new")
+def when_new(context: Any) -> None:
+    context.before = subsets(context=context)
+    context.names = [*context.names, "b99"]
+
+
+@then("at most {sets:d} of the subset places change")
+def then_churn(context: Any, sets: int) -> None:
+    after = subsets(context=context)
+    moved = sum(len(set(a) - set(b)) for b, a in zip(context.before, after, strict=False))
+    assert moved <= sets, moved
