Share's churn table: one place a stall is the bound for a listed backend

Cause: the row for 12 backends bounded a new name by 6 places, which depends on where its rank falls; the reason bounds it by one place a stall.

--- a/src/cinderstair/stall/share.feature
+++ b/src/cinderstair/stall/share.feature
@@ -74,5 +74,5 @@
       | 12       | 10     | 3    | a stall joins     | 0    |
       | 12       | 10     | 3    | a stall is lost   | 0    |
       | 3        | 9      | 20   | a backend is new  | 9    |
-      | 12       | 10     | 3    | a backend is new  | 6    |
+      | 12       | 10     | 3    | a backend is new  | 10   |
       | 60       | 30     | 10   | a backend is new  | 30   |
