Tests of edges, language, settings and real processes; confirmers need channels

Cause: a write sent by a stall that had no channel yet to a replica in sync could only end unknown; seen in a quiet system right after its start. Such writes are denied before they are sent, and every stall keeps channels to the primary and to all that must confirm. A database named by a list broke a job inside; it is denied now. New policy inSync bounds how many replicas a commit waits for.

--- a/src/cinderstair/charter/charter.py
+++ b/src/cinderstair/charter/charter.py
@@ -15,6 +15,8 @@
     "subsetSize": 20,
     # why: the source's limit on active jobs a channel set, beyond which a backend counts as full
     "active": 100,
+    # why: each replica in sync is waited for by every commit; two outlive the loss of one
+    "inSync": 2,
     "site": "near",
 }
 ROUTES = {"primary": "primary", "write": "primary", "live": "replica", "fresh": "replica"}
--- a/src/cinderstair/crier/crowd.feature
+++ b/src/cinderstair/crier/crowd.feature
@@ -3,7 +3,7 @@
 
   Scenario: A lost machine is known everywhere, and nobody else is removed
     Given a system of 9 stalls and 5 vaults, with seed 1
-    When stall-4 is killed
+    When machine stall-4 is killed
     Then within 8 seconds every other machine knows that stall-4 is gone
     And at no moment was anyone else removed by anyone
 
--- /dev/null
+++ b/src/cinderstair/fairground/fleet.feature
@@ -0,0 +1,31 @@
+Feature: Real processes on loopback
+  A small fleet of separate processes; what is awaited is an event, and the limits are generous.
+
+  Scenario: From nothing to service, through a kill and a freeze, to an orderly stop
+    Given a fleet of 3 stalls, 5 vaults and 1 database, at work with 12 clients
+    When the primary's process is killed
+    Then another leads, and commits are acknowledged again
+    When a stall's process is frozen until the others hold it to be gone, and goes on
+    Then it serves again
+    When a vault's process is killed and started again
+    And an operator submits version 2 with the command line
+    Then version 2 is in force at every stall, and is read back to the byte
+    And the status verb shows the members, the leads and the slots
+    When a settings file changes, with a signal and without one, to good values and to bad ones
+    Then the good ones are taken, and the bad ones are named in the log and change nothing
+    When a stall is told to stop
+    Then it ends with exit code 0, and its clients go elsewhere
+    And every checker finds nothing in the whole history
+
+  Scenario Outline: Started wrongly, a process says why in one line and exits with 2
+    When the program is run with <words>
+    Then it exits with <code> and one line that holds "<line>"
+
+    Examples:
+      | words                                                          | code | line                                   |
+      | stall                                                          | 2    | flags: name: Missing data              |
+      | vault --name v --site k --records 127.0.0.1:1 --seeds 127.0.0.1:1,127.0.0.1:2,127.0.0.1:3 | 2 | flags: folder: a data folder is needed |
+      | vault --name v --site k --records 127.0.0.1:1 --seeds 127.0.0.1:1,127.0.0.1:2,127.0.0.1:3 --folder /proc/none | 2 | can't be written |
+      | stall --name s --site k --records 127.0.0.1:1 --seeds 127.0.0.1:1,127.0.0.1:2,127.0.0.1:3 | 2 | flags: http: an address is needed |
+      | stall --settings /nowhere.toml                                 | 2    | /nowhere.toml: can't be read           |
+      | submit /nowhere.json                                           | 2    | /nowhere.json: No such file            |
--- a/src/cinderstair/fairground/fleet.py
+++ b/src/cinderstair/fairground/fleet.py
@@ -165,7 +165,8 @@
                 return False
             for lead in leads.values():
                 backend = status["backends"].get(lead["primary"], {})
-                fit = backend.get("fit") and backend["channels"]["limit"] > 0
+                needed = (lead["primary"], *lead["inSync"], *lead["joining"])
+                fit = backend.get("fit") and all(status["backends"][n]["channels"]["limit"] for n in needed)
                 if lead["state"] != "settled" or not lead["inSync"] or not fit:
                     return False
         return True
--- a/src/cinderstair/fairground/world.py
+++ b/src/cinderstair/fairground/world.py
@@ -280,6 +280,7 @@
                 and lead.state == "settled"
                 and lead.inSync
                 and stall.yard.usable(name=lead.primary)
+                and all(stall.yard.open(name=name) for name in lead.confirmers)
                 for database in self.databases
             )
             for stall in ups
--- a/src/cinderstair/stall/filters/keepfilter.py
+++ b/src/cinderstair/stall/filters/keepfilter.py
@@ -35,7 +35,7 @@
     def _open(self, *, job: Job) -> HttpResponse:
         database = job.body.get("database")
         charter = self.view.charter
-        if charter is None or database not in charter.databases:
+        if charter is None or not isinstance(database, str) or database not in charter.databases:
             return self.deny(kind=Kind.unknownDatabase, why=f"no database '{database}'")
         session = self.sessions.add(database=str(database))
         if session is None:
--- a/src/cinderstair/stall/filters/passfilter.py
+++ b/src/cinderstair/stall/filters/passfilter.py
@@ -113,6 +113,9 @@
         # why: what could not be acknowledged in the end is denied before it is sent
         if writes and not any(self.news.fit(name=name) for name in lead.inSync):
             return Result.Error(Fault(kind=Kind.notInSync, why=f"{database}: no replica is in sync"))
+        unasked = [name for name in lead.confirmers if not self.yard.open(name=name)]
+        if writes and unasked:
+            return Result.Error(Fault(kind=Kind.notInSync, why=f"{database}: no channel yet to {unasked[0]}"))
         return Result.Ok(lead)
 
     async def _once(self, *, name: str, job: Job, term: int, tried: set[str]) -> Result[Reply, Fault]:
--- a/src/cinderstair/stall/statuspage.py
+++ b/src/cinderstair/stall/statuspage.py
@@ -63,6 +63,7 @@
             "backends": {name: self._backend(name=name) for name in sorted(self.yard.pools)},
             "shares": {database: list(names) for database, names in self.yard.shares.items()},
             "sessions": len(self.sessions.open),
+            "queueMost": self.yard.queueMost,
         }
 
     def _backend(self, *, name: str) -> dict[str, Any]:
--- a/src/cinderstair/stall/yard.py
+++ b/src/cinderstair/stall/yard.py
@@ -44,6 +44,11 @@
         pool = self.pools.get(name)
         return pool is not None and pool.limit > 0 and self.news.fit(name=name) and not pool.shunned
 
+    def open(self, *, name: str) -> bool:
+        """Whether this stall may have channels there at all."""
+        pool = self.pools.get(name)
+        return pool is not None and pool.limit > 0
+
     def reachable(self, *, name: str) -> bool:
         """May anything at all still be sent there?"""
         sinceUs = self.unfitSinceUs.get(name)
@@ -62,8 +67,8 @@
                 # why: a backend that empties or fell silent is left alone as soon as no job is under way
                 if name in self.pools:
                     self.pools[name].shutIdle()
-        primaries = frozenset(lead.primary for lead in self.view.leads.values())
-        inputs = (charter.version, self.view.slots, frozenset(self.unfitSinceUs), primaries)
+        held = frozenset((lead.primary, lead.confirmers) for lead in self.view.leads.values())
+        inputs = (charter.version, self.view.slots, frozenset(self.unfitSinceUs), held)
         if inputs != self.inputs:
             self.inputs = inputs
             self._compute()
@@ -85,8 +90,8 @@
             self.shares[database] = () if myId is None else subsets[myId]
             lead = self.view.leads.get(database)
             for name in names:
-                # why: writes and primary reads come from every stall, whatever their subsets
-                leads = lead is not None and lead.primary == name
+                # why: every stall writes, whatever its subset, and asks those that must hold what it wrote
+                leads = lead is not None and name in (lead.primary, *lead.confirmers)
                 userIds = [n for n, held in subsets.items() if leads or name in held]
                 part = 0 if myId is None else allotment(cap=charter.backends[name].cap, userIds=userIds, stallId=myId)
                 wanted[name] = part
--- a/src/cinderstair/steward/leadduty.py
+++ b/src/cinderstair/steward/leadduty.py
@@ -224,7 +224,8 @@
             readings = await self._gauges(names=tuple(n for n in names if self.news.fit(name=n)))
             # why: nothing is acknowledged before the lead is settled, so whoever has the new term's
             # beginning now, and is waited for from the first commit on, is in sync
-            following = tuple(n for n, r in readings.items() if r.term == lead.term and r.received >= base)
+            most = charter.amount(name="inSync", database=database)
+            following = tuple(n for n, r in readings.items() if r.term == lead.term and r.received >= base)[:most]
             if following or self.ctx.nowUs() > followUntilUs:
                 break
             await self.ctx.rest(waitUs=100_000)
@@ -269,7 +270,8 @@
         good = {n for n, r in readings.items() if r.term == lead.term and r.received >= mark}
         changed = self._dropped(lead=lead, good=good, nowUs=nowUs)
         if changed is None:
-            changed = await self._joined(database=database, lead=lead, names=names, good=good)
+            most = charter.amount(name="inSync", database=database)
+            changed = await self._joined(database=database, lead=lead, names=names, good=good, most=most)
         if changed is not None:
             await self._put(database=database, old=lead, new=changed)
         if lead.inSync:
@@ -298,7 +300,9 @@
             return None
         return replace(lead, inSync=inSync, joining=joining)
 
-    async def _joined(self, *, database: str, lead: Lead, names: tuple[str, ...], good: set[str]) -> Lead | None:
+    async def _joined(
+        self, *, database: str, lead: Lead, names: tuple[str, ...], good: set[str], most: int
+    ) -> Lead | None:
         sinceUs = self.view.leadSinceUs[database]
         expired = self.ctx.nowUs() - sinceUs > self.view.leaseUs + VIEW_MARGIN_US
         if lead.joining and expired:
@@ -317,8 +321,9 @@
                 return replace(lead, inSync=(*lead.inSync, *arrived), joining=joining)
             return None
         fresh = tuple(n for n in names if n in good and n != lead.primary and n not in lead.confirmers)
-        if fresh and not lead.joining:
-            return replace(lead, joining=fresh)
+        room = most - len(lead.inSync)
+        if fresh and room > 0 and not lead.joining:
+            return replace(lead, joining=fresh[:room])
         return None
 
     async def override(self, *, database: str, backend: str) -> Result[Lead, Fault]:
--- /dev/null
+++ b/steps/chartersteps.py
@@ -0,0 +1,133 @@
+"""Steps for the language and for checking configurations."""
+
+import json
+from typing import Any
+
+from behave import then, use_step_matcher, when
+
+from cinderstair.charter.check import checkCharter
+from cinderstair.charter.compiler import compileProgram, compileSelector
+
+MACHINES = ({"hall": "old", "rack": "a"}, {"hall": "new", "rack": "b"}, {"rack": "c", "tier": "gold"})
+
+
+def good() -> dict[str, Any]:
+    return {
+        "version": 1,
+        "databases": {
+            database: {
+                "backends": [
+                    {
+                        "name": f"{database}-{letter}",
+                        "address": f"10.0.0.{number + offset}:1",
+                        "site": "kingston",
+                        "cap": 60,
+                        "labels": {"hall": "old" if letter == "a" else "new"},
+                    }
+                    for offset, letter in enumerate("abc")
+                ]
+            }
+            for database, number in (("league", 1), ("ledger", 11))
+        },
+        "language": ["route live on league to replica where hall = new", "policy liveAge on * is 900ms"],
+        "windows": [
+            {
+                "name": "friday",
+                "starts": "2026-12-04T22:00:00+07:00",
+                "ends": "2026-12-05T02:00:00+07:00",
+                "empties": "hall = old",
+            }
+        ],
+    }
+
+
+def changed(*, document: dict[str, Any], change: str) -> dict[str, Any]:
+    path, _, value = change.partition("=")
+    *steps, last = path.split("/")
+    place: Any = document
+    for step in steps:
+        place = place[int(step)] if isinstance(place, list) else place[step]
+    if isinstance(place, list) and int(last) == len(place):
+        place.append(json.loads(value))
+    elif isinstance(place, list):
+        place[int(last)] = json.loads(value)
+    else:
+        place[last] = json.loads(value) if value[:1] in '"{[0123456789tfn' else value
+    return document
+
+
+use_step_matcher("re")
+
+
+@when(r"the selector (?P<text>.*) is compiled")
+def when_selector(context: Any, text: str) -> None:
+    context.result = compileSelector(text=text)
+
+
+@then(r'it picks (?P<picked>[0-9 ]*)\s*of the machines "hall=old rack=a", "hall=new rack=b" and "rack=c tier=gold"')
+def then_picks(context: Any, picked: str) -> None:
+    assert context.result.is_ok(), context.result
+    found = [str(n) for n, labels in enumerate(MACHINES, start=1) if context.result.ok.picks(labels=labels)]
+    assert " ".join(found) == picked.strip(), found
+
+
+@then(r"its one true form compiles to itself")
+def then_form(context: Any) -> None:
+    first = context.result.ok
+    second = compileSelector(text=first.text).ok
+    assert first.text == second.text, (first.text, second.text)
+    assert [first.picks(labels=m) for m in MACHINES] == [second.picks(labels=m) for m in MACHINES]
+
+
+@when(r"the program (?P<text>.*) is compiled")
+def when_program(context: Any, text: str) -> None:
+    context.result = compileProgram(text=text)
+
+
+@then(r'it fails at line (?P<line>\d+), column (?P<column>\d+) with the words "(?P<words>.*)"')
+def then_fails(context: Any, line: str, column: str, words: str) -> None:
+    assert context.result.is_error(), context.result
+    fault = context.result.error
+    assert (fault.details["line"], fault.details["column"]) == (int(line), int(column)), fault
+    assert words in fault.why, fault.why
+
+
+@when(r"the good document is checked")
+def when_good(context: Any) -> None:
+    context.result = checkCharter(raw=json.dumps(good()).encode())
+
+
+@when(r"the good document is checked with (?P<change>.+)")
+def when_changed(context: Any, change: str) -> None:
+    document = changed(document=good(), change=change)
+    context.result = checkCharter(raw=json.dumps(document).encode())
+
+
+@when(r"the bytes (?P<text>.+) are checked")
+def when_bytes(context: Any, text: str) -> None:
+    context.result = checkCharter(raw=text.encode("latin-1").decode("unicode_escape").encode("latin-1"))
+
+
+@then(r"it is accepted with 2 databases, 6 backends and 1 window")
+def then_good(context: Any) -> None:
+    assert context.result.is_ok(), context.result
+    charter = context.result.ok
+    assert (len(charter.databases), len(charter.backends), len(charter.windows)) == (2, 6, 1)
+    assert not charter.warnings, charter.warnings
+
+
+@then(r'it is denied with "(?P<words>.*)"')
+def then_denied(context: Any, words: str) -> None:
+    assert context.result.is_error(), context.result.ok
+    errors = context.result.error.details["errors"]
+    assert any(words in line for line in errors), errors
+
+
+@then(r'it is accepted with the warnings "(?P<one>.*)" and "(?P<other>.*)"')
+def then_warned(context: Any, one: str, other: str) -> None:
+    assert context.result.is_ok(), context.result
+    for words in (one, other):
+        assert any(words in warning for warning in context.result.ok.warnings), context.result.ok.warnings
+
+
+use_step_matcher("parse")
--- a/steps/crowdsteps.py
+++ b/steps/crowdsteps.py
@@ -47,7 +47,7 @@
     context.removed = []
 
 
-@when("{name} is killed")
+@when("machine {name} is killed")
 def when_killed(context: Any, name: str) -> None:
     context.world.kill(name=name)
     context.gone = name
--- /dev/null
+++ b/steps/fleetsteps.py
@@ -0,0 +1,195 @@
+"""Steps for real processes."""
+
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+
+from behave import given, then, when
+from common import newFleet, run
+
+LONG_US = 60_000_000
+
+
+def nowUs() -> int:
+    return time.monotonic_ns() // 1000
+
+
+def commits(*, context: Any, sinceUs: int) -> int:
+    return sum(
+        e.outcome == "done" and e.verb in ("append", "transaction") and e.startUs >= sinceUs
+        for e in context.fleet.history
+    )
+
+
+async def awaitCommits(*, context: Any, count: int) -> None:
+    sinceUs = nowUs()
+    await context.fleet.awaitThat(
+        test=lambda: commits(context=context, sinceUs=sinceUs) >= count, withinUs=LONG_US, what="commits"
+    )
+
+
+@given("a fleet of {stalls:d} stalls, {vaults:d} vaults and 1 database, at work with {clients:d} clients")
+def given_fleet(context: Any, stalls: int, vaults: int, clients: int) -> None:
+    fleet = newFleet(context=context, stalls=stalls, vaults=vaults, databases=1)
+
+    async def go() -> None:
+        await fleet.begin()
+        fleet.callersBegin(count=clients, thinkUs=200_000)
+        await awaitCommits(context=context, count=20)
+
+    run(context=context, work=go())
+
+
+@when("the primary's process is killed")
+def when_primary(context: Any) -> None:
+    async def go() -> None:
+        lead = (await context.fleet.status(name="stall-0"))["leads"]["db0"]
+        context.term, context.primary = lead["term"], lead["primary"]
+        context.fleet.kill(name=lead["primary"])
+
+    run(context=context, work=go())
+
+
+@then("another leads, and commits are acknowledged again")
+def then_another(context: Any) -> None:
+    async def moved() -> bool:
+        lead = (await context.fleet.status(name="stall-0"))["leads"]["db0"]
+        return lead["term"] > context.term and lead["state"] == "settled" and lead["primary"] != context.primary
+
+    async def go() -> None:
+        await context.fleet.awaitThat(test=moved, withinUs=LONG_US, what="another leads")
+        await awaitCommits(context=context, count=20)
+        context.fleet.start(name=context.primary)
+        await context.fleet.awaitThat(test=context.fleet.allServe, withinUs=LONG_US, what="all serve")
+
+    run(context=context, work=go())
+
+
+@when("a stall's process is frozen until the others hold it to be gone, and goes on")
+def when_frozen(context: Any) -> None:
+    async def gone() -> bool:
+        members = (await context.fleet.status(name="stall-0"))["members"]
+        return any(m["name"] == "stall-1" and m["standing"] == "dead" for m in members)
+
+    async def go() -> None:
+        context.fleet.signal(name="stall-1", number=signal.SIGSTOP)
+        await context.fleet.awaitThat(test=gone, withinUs=LONG_US, what="stall-1 is held to be gone")
+        context.fleet.signal(name="stall-1", number=signal.SIGCONT)
+
+    run(context=context, work=go())
+
+
+@then("it serves again")
+def then_serves(context: Any) -> None:
+    run(
+        context=context,
+        work=context.fleet.awaitThat(test=context.fleet.allServe, withinUs=LONG_US, what="all serve"),
+    )
+
+
+@when("a vault's process is killed and started again")
+def when_vault(context: Any) -> None:
+    context.fleet.kill(name="vault-2")
+    context.fleet.start(name="vault-2")
+
+
+@when("an operator submits version 2 with the command line")
+def when_submit(context: Any) -> None:
+    result = run(context=context, work=context.fleet.submit(version=2, stalls={"stall-0": {"hall": "old"}}))
+    assert result.returncode == 0, result.stderr
+
+
+@then("version 2 is in force at every stall, and is read back to the byte")
+def then_in_force(context: Any) -> None:
+    async def inForce() -> bool:
+        statuses = [await context.fleet.status(name=name) for name in context.fleet.stallNames]
+        return all(status.get("configuration") == 2 for status in statuses)
+
+    run(context=context, work=context.fleet.awaitThat(test=inForce, withinUs=LONG_US, what="in force"))
+    wanted = (context.fleet.folder / "configuration-2.json").read_text()
+    result = context.fleet.verb("fetch", at="stall-2")
+    assert result.returncode == 0 and result.stdout == wanted, (result.stdout[:80], result.stderr)
+    again = context.fleet.verb("submit", str(context.fleet.folder / "configuration-1.json"))
+    assert again.returncode == 1 and "versionOld" in again.stderr, again.stderr
+
+
+@then("the status verb shows the members, the leads and the slots")
+def then_status(context: Any) -> None:
+    text = context.fleet.verb("status").stdout
+    for words in ("members: ", "vault-4=alive", "slots: ", "db0: term", "settled", "in sync"):
+        assert words in text, text
+
+
+@when("a settings file changes, with a signal and without one, to good values and to bad ones")
+def when_settings(context: Any) -> None:
+    fleet = context.fleet
+
+    async def logged(words: str) -> None:
+        await fleet.awaitThat(test=lambda: words in fleet.logText(name="stall-0"), withinUs=LONG_US, what=words)
+
+    async def go() -> None:
+        fleet.writeSettings(name="stall-0", queueMost=150)
+        fleet.signal(name="stall-0", number=signal.SIGHUP)
+        await logged("settings changed (signal)")
+        fleet.writeSettings(name="stall-0", queueMost=160, drainWaitUs=2_000_000)
+        await logged("settings changed (file changed)")
+        fleet.writeSettings(name="stall-0", queueMost="many")
+        await logged("queueMost: Not a valid integer")
+        fleet.writeSettings(name="stall-0", site="elsewhere")
+        await logged("site need a restart")
+
+    run(context=context, work=go())
+
+
+@then("the good ones are taken, and the bad ones are named in the log and change nothing")
+def then_settings(context: Any) -> None:
+    status = run(context=context, work=context.fleet.status(name="stall-0"))
+    assert status["site"] != "elsewhere" and status["viewCurrent"], status
+    assert status["queueMost"] == 160, status["queueMost"]
+
+
+@when("a stall is told to stop")
+def when_stop(context: Any) -> None:
+    context.stopUs = nowUs()
+    context.fleet.signal(name="stall-1", number=signal.SIGTERM)
+
+
+@then("it ends with exit code 0, and its clients go elsewhere")
+def then_ends(context: Any) -> None:
+    async def go() -> None:
+        process = context.fleet.processes["stall-1"]
+        await context.fleet.awaitThat(
+            test=lambda: process.poll() is not None, withinUs=LONG_US, what="stall-1 has ended"
+        )
+        assert process.returncode == 0, context.fleet.logText(name="stall-1")[-2000:]
+        await awaitCommits(context=context, count=20)
+
+    run(context=context, work=go())
+
+
+@then("every checker finds nothing in the whole history")
+def then_history(context: Any) -> None:
+    async def go() -> list[str]:
+        await context.fleet.callersEnd()
+        wrong, _ = await context.fleet.verdict()
+        return wrong
+
+    wrong = run(context=context, work=go())
+    assert not wrong, wrong[:5]
+    assert commits(context=context, sinceUs=0) > 100
+
+
+@when("the program is run with {words}")
+def when_program(context: Any, words: str) -> None:
+    context.result = subprocess.run(
+        [sys.executable, "-m", "cinderstair", *words.split()], capture_output=True, text=True, timeout=60, check=False
+    )
+
+
+@then('it exits with {code:d} and one line that holds "{line}"')
+def then_exits(context: Any, code: int, line: str) -> None:
+    assert context.result.returncode == code, context.result
+    lines = context.result.stderr.strip().splitlines()
+    assert len(lines) == 1 and line in lines[0], lines
--- /dev/null
+++ b/steps/stallsteps.py
@@ -0,0 +1,222 @@
+"""Steps for a stall's edge."""
+
+import asyncio
+import json
+from typing import Any
+
+from behave import given, then, when
+from common import newWorld
+
+from cinderstair.fairground.simnet import SimNet
+from cinderstair.fairground.virtualloop import Boot
+from cinderstair.fairground.world import World
+from cinderstair.pitch.httpjob import HttpJob
+
+
+def ask(
+    *, world: World, method: str, path: str, value: Any = None, body: bytes = b"", name: str = "stall-0"
+) -> tuple[int, Any]:
+    data = body if value is None else json.dumps(value).encode()
+    status, answer = world.ask(name=name, method=method, path=path, body=data)
+    return status, json.loads(answer) if answer else None
+
+
+def openSession(*, world: World) -> str:
+    status, answer = ask(
+        world=world, method="POST", path="/v1/sessions", value={"database": "db0", "timeLeftUs": 1_000_000}
+    )
+    assert status == 201, answer
+    return str(answer["session"])
+
+
+def statement(*, context: Any, session: str = "", **fields: Any) -> tuple[int, Any]:
+    path = f"/v1/sessions/{session or context.session}/statements"
+    return ask(world=context.world, method="POST", path=path, value={"timeLeftUs": 2_000_000, **fields})
+
+
+def step(*, context: Any, verb: str, timeLeftUs: int = 2_000_000) -> tuple[int, Any]:
+    path = f"/v1/sessions/{context.session}/{verb}"
+    return ask(world=context.world, method="POST", path=path, value={"timeLeftUs": timeLeftUs})
+
+
+@given("a system at work with an open session")
+def given_work(context: Any) -> None:
+    world = newWorld(context=context, seed=21, changes={"idleTransactionUs": 2_000_000})
+    world.begin()
+    context.session = openSession(world=world)
+
+
+@then("these jobs are answered at once")
+def then_answers(context: Any) -> None:
+    wrong = []
+    for row in context.table:
+        path = row["path"].replace("SESSION", context.session)
+        beganUs = context.world.nowUs
+        status, answer = ask(world=context.world, method=row["method"], path=path, body=row["body"].encode())
+        tookUs = context.world.nowUs - beganUs
+        if (status, answer.get("kind")) != (int(row["status"]), row["kind"]) or tookUs > 50_000:
+            wrong.append((row["path"], row["body"], status, answer, tookUs))
+    assert not wrong, wrong
+
+
+@then("a body of 2 MiB is answered with {status:d} and {kind}")
+def then_large(context: Any, status: int, kind: str) -> None:
+    body = b'{"text": "' + b"x" * (2 * 1024 * 1024) + b'"}'
+    found, answer = ask(world=context.world, method="POST", path="/v1/sessions", body=body)
+    assert (found, answer["kind"]) == (status, kind), answer
+
+
+@then("the session still works, and no channel was left taken")
+def then_works(context: Any) -> None:
+    status, answer = statement(context=context, kind="primary", text="get k")
+    assert status == 200, answer
+    stall = context.world.stall(name="stall-0")
+    context.world.advance(forUs=100_000)
+    assert not context.world.errors and not stall.ctx.counters.counts["internal.crashes"]
+    assert all(session.transaction is None and not session.busy for session in stall.sessions.open.values())
+
+
+@when('it prepares "{text}", and sets the value "{key}" to "{value}"')
+def when_keeps(context: Any, text: str, key: str, value: str) -> None:
+    path = f"/v1/sessions/{context.session}"
+    keep = {"text": text, "timeLeftUs": 1_000_000}
+    assert ask(world=context.world, method="PUT", path=f"{path}/prepared/p", value=keep)[0] == 200
+    keep = {"values": {key: value}, "timeLeftUs": 1_000_000}
+    assert ask(world=context.world, method="PUT", path=f"{path}/values", value=keep)[0] == 200
+
+
+@then("its prepared text runs with parameters, and its value is shown to it alone")
+def then_kept(context: Any) -> None:
+    status, answer = statement(context=context, kind="write", prepared="p", params=["x"])
+    assert status == 200, answer
+    assert statement(context=context, kind="primary", text="list k")[1]["rows"] == ["x"]
+    assert statement(context=context, kind="primary", text="show mine")[1]["rows"] == ["7"]
+    other = openSession(world=context.world)
+    assert statement(context=context, session=other, kind="primary", text="show mine")[1]["rows"] == [None]
+    status, answer = statement(context=context, session=other, kind="write", prepared="p")
+    assert (status, answer["kind"]) == (404, "unknownPrepared"), answer
+
+
+@then("a job with two tries at once is told sessionBusy")
+def then_busy(context: Any) -> None:
+    body = json.dumps({"kind": "primary", "text": "list k", "timeLeftUs": 2_000_000}).encode()
+    path = f"/v1/sessions/{context.session}/statements"
+
+    async def both() -> list[tuple[int, bytes]]:
+        asks = [context.world._ask(name="stall-0", method="POST", path=path, body=body) for _ in range(2)]
+        return list(await asyncio.gather(*asks))
+
+    answers = context.world.run(work=both())
+    kinds = sorted(json.loads(answer).get("kind", "done") for _, answer in answers)
+    assert kinds == ["done", "sessionBusy"], kinds
+
+
+@then("a transaction that commits is seen by a primary read")
+def then_commit(context: Any) -> None:
+    assert step(context=context, verb="begin")[0] == 200
+    assert statement(context=context, kind="write", text="put a 1")[0] == 200
+    assert statement(context=context, kind="primary", text="get a")[1]["rows"] == ["1"]
+    other = openSession(world=context.world)
+    assert statement(context=context, session=other, kind="primary", text="get a")[1]["rows"] == [None]
+    assert step(context=context, verb="commit")[0] == 200
+    assert statement(context=context, session=other, kind="primary", text="get a")[1]["rows"] == ["1"]
+
+
+@then("a transaction that rolls back is not")
+def then_rollback(context: Any) -> None:
+    assert step(context=context, verb="begin")[0] == 200
+    assert statement(context=context, kind="write", text="put a 2")[0] == 200
+    assert step(context=context, verb="rollback")[0] == 200
+    assert statement(context=context, kind="primary", text="get a")[1]["rows"] == ["1"]
+
+
+@then("a statement after an abandoned transaction is told transactionLost, once")
+def then_abandoned(context: Any) -> None:
+    assert step(context=context, verb="begin")[0] == 200
+    assert statement(context=context, kind="write", text="put a 3")[0] == 200
+    context.world.advance(forUs=4_000_000)
+    status, answer = statement(context=context, kind="write", text="put a 4")
+    assert (status, answer["kind"]) == (409, "transactionLost"), answer
+    assert statement(context=context, kind="primary", text="get a")[1]["rows"] == ["1"]
+
+
+@when("a majority of vaults is killed")
+def when_majority(context: Any) -> None:
+    for name in context.world.vaultNames[:3]:
+        context.world.kill(name=name)
+
+
+@then("within {seconds:d} seconds the stall is not ready")
+def then_unready(context: Any, seconds: int) -> None:
+    context.world.awaitThat(
+        test=lambda: context.world.ask(name="stall-0", method="GET", path="/ready")[0] == 503,
+        withinUs=seconds * 1_000_000,
+        what="not ready",
+    )
+
+
+@then("a new session is denied at once with notCurrent, a Retry-After and where else to go")
+def then_elsewhere(context: Any) -> None:
+    net = SimNet(wires=context.world.wires, boot=Boot(name="client"))
+    body = json.dumps({"database": "db0", "timeLeftUs": 5_000_000}).encode()
+    beganUs = context.world.nowUs
+
+    async def go() -> Any:
+        channel = (await net.dial(address=context.world.http(name="stall-0"), waitUs=500_000)).ok
+        return await channel.passJob(job=HttpJob(method="POST", path="/v1/sessions", body=body), waitUs=6_000_000)
+
+    response = context.world.run(work=go()).ok
+    answer = response.json()
+    assert (response.status, answer["kind"], answer["outcome"]) == (503, "notCurrent", "denied"), answer
+    assert int(response.headers["Retry-After"]) >= 1 and answer["retryAfterUs"] > 0 and answer["elsewhere"]
+    assert context.world.nowUs - beganUs < 50_000
+
+
+@given("a system of 1 stall with a cap of {cap:d}, and queues of {most:d}")
+def given_small(context: Any, cap: int, most: int) -> None:
+    world = newWorld(context=context, seed=22, stalls=1, cap=cap, changes={"queueMost": most})
+    world.begin()
+    for name in world.backendNames():
+        world.backend(name=name).serviceUs = 200_000
+
+
+@when("{count:d} clients send slow reads at once with {seconds:d} seconds left each")
+def when_crowd(context: Any, count: int, seconds: int) -> None:
+    world = context.world
+    context.leftUs = seconds * 1_000_000
+    context.answers = []
+    sessions = [openSession(world=world) for _ in range(count)]
+    body = json.dumps({"kind": "primary", "text": "get k", "timeLeftUs": context.leftUs}).encode()
+
+    async def one(session: str) -> None:
+        beganUs = world.nowUs
+        path = f"/v1/sessions/{session}/statements"
+        status, answer = await world._ask(name="stall-0", method="POST", path=path, body=body)
+        context.answers.append((world.nowUs - beganUs, status, json.loads(answer)))
+
+    async def everyone() -> None:
+        await asyncio.gather(*(one(session) for session in sessions))
+
+    world.run(work=everyone())
+
+
+@then("every client is answered within its time left")
+def then_in_time(context: Any) -> None:
+    assert max(tookUs for tookUs, _, _ in context.answers) <= context.leftUs + 50_000
+    assert sum(status == 200 for _, status, _ in context.answers) >= 10, context.answers
+
+
+@then("those denied were told crowded within {millis:d} milliseconds, with when to come back")
+def then_crowded(context: Any, millis: int) -> None:
+    denied = [(tookUs, answer) for tookUs, status, answer in context.answers if status != 200]
+    assert len(denied) >= 30, len(denied)
+    for _, answer in denied:
+        assert answer["kind"] == "crowded" and answer["retryAfterUs"] > 0, answer
+    quick = [tookUs for tookUs, _ in denied if tookUs <= millis * 1000]
+    assert len(quick) == len(denied), sorted(tookUs for tookUs, _ in denied)[-5:]
+
+
+@then("no backend was given more than {cap:d} channels")
+def then_capped(context: Any, cap: int) -> None:
+    for name in context.world.backendNames():
+        assert context.world.backend(name=name).mostLines <= cap
