Booked windows empty a hall and fill it again; planned moves of a primary

Cause: windows were checked and never obeyed. One leased duty turns booked windows into stages in the register, which never go back; stalls and the mover of leads act on the stages. A window takes neither the last that could lead, nor the last in sync, nor the last ready stall; it holds back and says so. A planned move closes first (open transactions finish, default 1 s), then goes the way of a failover without waiting for detection. Faults that ignore windows or forget sessions are seen. Ruled out: each stall acting on its own clock.

--- /dev/null
+++ b/src/cinderstair/almanac/windowstates.py
@@ -0,0 +1,58 @@
+"""Which windows are open, as written in the register by the one that has the duty."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from ..pitch.packer import Packer
+from ..pitch.unpacker import Unpacker
+from .window import Window
+
+WINDOWS_KEY = "windows"
+
+
+class Stage(IntEnum):
+    """A window goes one way: booked, open, ended."""
+
+    booked = 0
+    open = 1
+    ended = 2
+
+
+@dataclass(frozen=True, kw_only=True)
+class WindowStates:
+    """Stages by a window's name and times; a window with other times is another window."""
+
+    stages: tuple[tuple[str, int, int, Stage], ...] = ()
+
+    def stage(self, *, window: Window) -> Stage:
+        key = (window.name, window.startsUs, window.endsUs)
+        return next((stage for *known, stage in self.stages if tuple(known) == key), Stage.booked)
+
+    def turned(self, *, windows: tuple[Window, ...], wallUs: int) -> "WindowStates":
+        """The stages at a calendar time. None goes back, so two clocks that differ can't make one flap."""
+        stages = []
+        for window in windows:
+            stage = self.stage(window=window)
+            # why: a clock behind the one that opened or ended a window must not undo it
+            if stage < Stage.open and window.startsUs <= wallUs:
+                stage = Stage.open
+            if stage < Stage.ended and window.endsUs <= wallUs:
+                stage = Stage.ended
+            if stage != Stage.booked:
+                stages.append((window.name, window.startsUs, window.endsUs, stage))
+        return WindowStates(stages=tuple(sorted(stages)))
+
+    def bytes(self) -> bytes:
+        def each(packer: Packer, entry: tuple[str, int, int, Stage]) -> None:
+            packer.text(value=entry[0]).u64(value=entry[1]).u64(value=entry[2]).u8(value=entry[3])
+
+        return Packer().many(values=self.stages, each=each).bytes()
+
+
+def readWindowStates(*, data: bytes) -> WindowStates:
+    if not data:
+        return WindowStates()
+    unpacker = Unpacker(data=data)
+    stages = unpacker.many(each=lambda u: (u.text(), u.u64(), u.u64(), Stage(u.u8())))
+    unpacker.done()
+    return WindowStates(stages=tuple(stages))
--- a/src/cinderstair/charter/charter.py
+++ b/src/cinderstair/charter/charter.py
@@ -17,6 +17,8 @@
     "active": 100,
     # why: each replica in sync is waited for by every commit; two outlive the loss of one
     "inSync": 2,
+    # why: transactions are short; longer ones are told that they were ended, and nothing of theirs is kept
+    "closeWait": 1_000_000,
     "site": "near",
 }
 ROUTES = {"primary": "primary", "write": "primary", "live": "replica", "fresh": "replica"}
--- a/src/cinderstair/charter/compiler.py
+++ b/src/cinderstair/charter/compiler.py
@@ -22,6 +22,7 @@
     "commitWait": ("duration", 10_000, 5_000_000),
     "subsetSize": ("whole", 0, 10_000),
     "active": ("whole", 1, 100_000),
+    "closeWait": ("duration", 0, 3_000_000),
     "inSync": ("whole", 1, 16),
     "site": ("word", 0, 0),
 }
--- a/src/cinderstair/counter/operatorverb.py
+++ b/src/cinderstair/counter/operatorverb.py
@@ -109,7 +109,12 @@
             f"{name}: {backend['state']}{'' if backend['fit'] else ' UNFIT'}, channels {channels['open']} of "
             f"{channels['limit']}, opened {channels['opened']}, closed {channels['closed']}"
         )
-    lines += [f"window {name}: {text}" for name, text in value.get("windows", {}).items()]
+    for name, window in value["windows"].items():
+        left = "; ".join(window["left"]) or ("nothing left" if window["stage"] == "open" else "-")
+        lines.append(
+            f"window {name}: {window['stage']}, empties {window['empties']}, backends "
+            f"{' '.join(window['backends']) or '-'}, stalls {' '.join(window['stalls']) or '-'}; still there: {left}"
+        )
     lines += [f"warning: {warning}" for warning in value["warnings"]]
     return "\n".join(lines)
 
--- a/src/cinderstair/fairground/faults.feature
+++ b/src/cinderstair/fairground/faults.feature
@@ -19,3 +19,5 @@
       | leaveTransactions | clientsVanish    | another's transaction   |
       | otherText         | stallKilled      | nobody sent             |
       | mixedValues       | stallKilled      | was shown               |
+      | deafToWindows     | hallMoved        | still in the old hall   |
+      | loseSessions      | hallMoved        | sessions were lost      |
--- a/src/cinderstair/fairground/faults.py
+++ b/src/cinderstair/fairground/faults.py
@@ -7,11 +7,14 @@
 
 from expression import Ok
 
+from ..almanac.leaving import Leaving
 from ..charter import chancery
 from ..crier.news import News
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
+from ..stall import view
 from ..stall.filters.passfilter import PassFilter
+from ..stall.handover import Handover
 from ..stall.ledgerbook import LedgerBook
 from ..stall.passmixin import PassMixin
 from ..stall.samples import Samples
@@ -124,6 +127,21 @@
     return [patch.object(Sessions, "add", add)]
 
 
+def deafToWindows() -> Patches:
+    """Open windows select nothing."""
+    return [patch.object(view, "leaving", lambda **_: Leaving())]
+
+
+def loseSessions() -> Patches:
+    """A stall that must stand empty forgets its sessions instead of handing them on."""
+
+    async def handAll(self: Any) -> int:
+        self.sessions.open.clear()
+        return 0
+
+    return [patch.object(Handover, "handAll", handAll)]
+
+
 FAULTS: dict[str, Callable[[], Patches]] = {
     each.__name__: each
     for each in (
@@ -139,6 +157,8 @@
         leaveTransactions,
         otherText,
         mixedValues,
+        deafToWindows,
+        loseSessions,
     )
 }
 
--- a/src/cinderstair/fairground/trials.feature
+++ b/src/cinderstair/fairground/trials.feature
@@ -23,6 +23,10 @@
       | stallFrozen           | 700  |
       | clientsVanish         | 700  |
       | stallsStopped         | 1000 |
+      | hallMoved             | 1500 |
+      | hallMovedAmidCrashes  | 1500 |
+      | wholeHallHeldBack     | 1000 |
+      | moveCancelled         | 800  |
       | vaultsTurned          | 1000 |
       | vaultsGone            | 1000 |
       | vaultDisks            | 700  |
--- a/src/cinderstair/fairground/world.py
+++ b/src/cinderstair/fairground/world.py
@@ -5,6 +5,7 @@
 import logging
 import random
 from collections.abc import Callable, Coroutine
+from datetime import datetime, timedelta, timezone
 from typing import Any
 
 from ..pitch.context import Context
@@ -258,13 +259,19 @@
         """An operator's or the platform's question to one daemon."""
         return self.run(work=self._ask(name=name, method=method, path=path, body=body))
 
-    def configuration(self, *, version: int, **extra: Any) -> bytes:
+    def calendar(self, *, inUs: int) -> str:
+        """A moment from now on the calendar, as an operator writes it."""
+        seconds = (WALL_START_US + self.nowUs + inUs) / 1_000_000
+        return datetime.fromtimestamp(seconds, tz=timezone(timedelta(hours=7))).isoformat()
+
+    def configuration(self, *, version: int, old: tuple[str, ...] = (), **extra: Any) -> bytes:
         document = {
             "version": version,
             "databases": {
                 database: {
                     "backends": [
                         {
+                            "labels": {"hall": "old" if name in old else "new"},
                             "name": name,
                             "address": self.http(name=name),
                             "site": self.siteOf(name=name),
@@ -275,6 +282,7 @@
                 }
                 for database, names in self.databases.items()
             },
+            "stalls": {name: {"hall": "old" if name in old else "new"} for name in self.stallNames},
             **extra,
         }
         return json.dumps(document).encode()
--- a/src/cinderstair/stall/filters/passfilter.py
+++ b/src/cinderstair/stall/filters/passfilter.py
@@ -24,6 +24,8 @@
 ROUNDS = 4
 AGAIN_US = 30_000
 READ_WAIT_US = 250_000
+# why: the longest that a planned move takes when nothing fails; whoever has less time left is denied
+PLANNED_US = 5_500_000
 
 
 class PassFilter(DenyMixin, PassMixin):
@@ -94,6 +96,9 @@
                 return outcome
             fault = outcome
             self.ctx.counters.add(name="jobs.rounds")
+            if fault.kind == Kind.moving and await self._outwait(job=job):
+                tried.clear()
+                continue
             # why: with a full queue another round would only make the crowd larger
             if fault.kind in (Kind.crowded, Kind.noLead, Kind.moving, Kind.notInSync):
                 break
@@ -102,11 +107,29 @@
             await self.ctx.rest(waitUs=AGAIN_US * round_)
         return self.denyFault(fault=fault)
 
+    async def _outwait(self, *, job: Job) -> bool:
+        """Waits for a planned move to end; False at once where the job's time left won't reach so far."""
+        database = job.bound.database
+        lead = self.view.lead(database=database)
+        if lead is None or not lead.planned:
+            return False
+        endsUs = self.view.plannedSinceUs.get(database, self.ctx.nowUs()) + PLANNED_US
+        # why: a job that can't outlast the move is told now when to come back, not after it has waited in vain
+        if job.untilUs < endsUs or self.ctx.nowUs() > endsUs:
+            return False
+        while self.ctx.nowUs() < endsUs:
+            lead = self.view.lead(database=database)
+            if lead is not None and lead.state == SETTLED:
+                return True
+            await self.ctx.rest(waitUs=AGAIN_US)
+        return False
+
     def _leadFor(self, *, database: str, writes: bool) -> Result[Lead, Fault]:
         lead = self.view.lead(database=database)
         if lead is None:
             return Result.Error(Fault(kind=Kind.noLead, why=f"{database}: nobody leads yet"))
-        if lead.state != SETTLED:
+        # why: while a planned move closes, reads go on; what is new and would write waits for the move's end
+        if not lead.serves or (writes and lead.state != SETTLED):
             return Result.Error(Fault(kind=Kind.moving, why=f"{database}: the lead is moving to {lead.primary}"))
         if not self.yard.usable(name=lead.primary):
             return Result.Error(Fault(kind=Kind.noLead, why=f"{database}: {lead.primary} is not fit"))
--- a/src/cinderstair/stall/filters/readyfilter.py
+++ b/src/cinderstair/stall/filters/readyfilter.py
@@ -18,11 +18,19 @@
         self.view = view
         self.crowd = crowd
         self.draining = False
+        self.emptiedBy = ""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether sessions are to go elsewhere, for a stop or for a window."""
+        return self.draining or bool(self.emptiedBy)
 
     def unready(self) -> tuple[Kind, str] | None:
         """Why no job may pass now; None where jobs may."""
         if self.draining:
             return Kind.draining, "this stall is emptying"
+        if self.emptiedBy:
+            return Kind.draining, f"this stall is emptied by {self.emptiedBy}"
         if not self.view.current:
             return Kind.notCurrent, "this stall's view of the register is not current"
         if self.view.charter is None:
@@ -42,6 +50,6 @@
             return None
         reason = self.unready()
         # why: an open transaction may end here even while the stall empties; nothing new may begin
-        if reason is not None and not (self.draining and job.verb in ("statement", "commit", "rollback")):
+        if reason is not None and not (self.leaving and job.verb in ("statement", "commit", "rollback")):
             return self.deny(kind=reason[0], why=reason[1], details=self.elsewhere())
         return None
--- a/src/cinderstair/stall/ledgerbook.py
+++ b/src/cinderstair/stall/ledgerbook.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from ..pitch.context import Context
-from ..steward.lead import SETTLED
 from .view import View
 from .waterline import Waterline
 from .yard import Yard
@@ -28,7 +27,7 @@
     def holds(self, *, database: str, term: int) -> bool:
         """The term is still the one in force, by a view that is current now."""
         lead = self.view.lead(database=database)
-        return self.view.current and lead is not None and lead.term == term and lead.state == SETTLED
+        return self.view.current and lead is not None and lead.term == term and lead.serves
 
     async def durable(self, *, database: str, term: int, position: int, untilUs: int) -> bool:
         """Waits until every in-sync and joining replica holds the position and the term is still in force."""
@@ -36,7 +35,7 @@
         while True:
             lead = self.view.lead(database=database)
             # why: once another term has begun, nothing of this one may be acknowledged any more
-            if lead is None or lead.term != term or lead.state != SETTLED:
+            if lead is None or lead.term != term or not lead.serves:
                 return False
             missing = [
                 name for name in lead.confirmers if not self.line(name=name).covers(term=term, position=position)
--- a/src/cinderstair/stall/samples.py
+++ b/src/cinderstair/stall/samples.py
@@ -5,7 +5,7 @@
 
 from ..pitch.context import Context
 from ..pitch.ownermixin import OwnerMixin
-from ..steward.lead import SETTLED
+from ..steward.lead import Lead
 from .gauge import readGauge
 from .view import View
 from .yard import Yard
@@ -40,20 +40,24 @@
 
     async def sample(self, *, database: str) -> None:
         lead = self.view.lead(database=database)
-        if lead is None or lead.state != SETTLED:
+        if lead is None or not lead.serves:
             return
         beganUs = self.ctx.nowUs()
         reading = await readGauge(yard=self.yard, name=lead.primary)
         if reading.is_error() or not reading.ok.leads or reading.ok.term != lead.term:
             return
         # why: only while nobody else can have been made to lead is the primary's position the newest
-        if not self.view.current or self.view.lead(database=database) != lead:
+        if not self.view.current or not self._same(database=database, lead=lead):
             return
         taken = self.taken.setdefault(database, deque())
         taken.append(Sample(beganUs=beganUs, term=lead.term, position=reading.ok.received))
         while taken and taken[0].beganUs < self.ctx.nowUs() - KEEP_US:
             taken.popleft()
 
+    def _same(self, *, database: str, lead: Lead) -> bool:
+        now = self.view.lead(database=database)
+        return now is not None and now.term == lead.term and now.serves
+
     def floor(self, *, database: str, term: int, sinceUs: int) -> int | None:
         """The position that covers all that was acknowledged before `sinceUs`; None where nobody can tell."""
         fitting = [s for s in self.taken.get(database, ()) if s.term == term and s.beganUs >= sinceUs]
--- a/src/cinderstair/stall/stall.py
+++ b/src/cinderstair/stall/stall.py
@@ -8,7 +8,7 @@
 
 from ..charter.chancery import Chancery
 from ..crier.crowd import Crowd
-from ..crier.member import Member
+from ..crier.member import Member, Standing
 from ..crier.news import News
 from ..pitch.context import Context
 from ..pitch.desk import Desk
@@ -20,6 +20,7 @@
 from ..steward.leadduty import LeadDuty
 from ..steward.platform import Platform
 from ..steward.slotduty import SlotDuty
+from ..steward.windowduty import WindowDuty
 from ..vault.register import Register
 from .denymixin import DenyMixin
 from .filters.bodyfilter import BodyFilter
@@ -80,6 +81,7 @@
             yard=self.yard,
             platform=Platform(ctx=ctx, address=settings.platform),
         )
+        self.windowDuty = WindowDuty(ctx=ctx, register=self.register, view=self.view)
         self.ready = ReadyFilter(ctx=ctx, view=self.view, crowd=self.crowd)
         self.handover = Handover(ctx=ctx, desk=self.desk, crowd=self.crowd, sessions=self.sessions, ready=self.ready)
         self.status = StatusPage(
@@ -92,6 +94,8 @@
             leads=self.leadDuty,
         )
         self.askedUs = 0
+        self.handing = False
+        self.windowHeld = ""
         self.chain = self._chain()
 
     def _chain(self) -> tuple[Filter, ...]:
@@ -153,11 +157,37 @@
 
     def _parting(self, *, response: HttpResponse) -> HttpResponse:
         # why: a client told to close its connection now will not find it closed under its next job
-        if not self.ready.draining:
+        if not self.ready.leaving:
             return response
         return replace(response, headers={**response.headers, "Connection": "close"})
 
+    def _obeyWindow(self) -> None:
+        """Stands empty while an open window wants it, as long as another stall that stays can serve."""
+        why = self.view.leaving.why(name=self.ctx.name)
+        staying = [
+            name
+            for _, name in self.view.slots.names
+            if name not in self.view.leaving.stalls and name != self.ctx.name
+            if self.crowd.standing(name=name) == Standing.alive
+        ]
+        # why: a window never leaves nobody to serve; without another stall this one stays, or comes back
+        wanted = why if staying else ""
+        self.windowHeld = f"{why} holds back: no other stall stays" if why and not staying else ""
+        if wanted != self.ready.emptiedBy:
+            self.ctx.log.info("emptied by %s" if wanted else "no longer emptied%s", wanted)
+            self.ready.emptiedBy = wanted
+        if wanted and self.sessions.open and not self.handing:
+            self.handing = True
+            self.ctx.spawn(work=self._handOn(), name="hand.on")
+
+    async def _handOn(self) -> None:
+        try:
+            await self.handover.handAll()
+        finally:
+            self.handing = False
+
     def _tend(self) -> None:
+        self._obeyWindow()
         if self.view.current and self.view.slots.idOf(name=self.ctx.name) is None and not self.ready.draining:
             self.slotDuty.post(command=lambda: self.slotDuty.claim(name=self.ctx.name), once="claim")
         for session in list(self.sessions.open.values()):
@@ -175,7 +205,7 @@
         # why: clients that still come are told where their sessions are; the end waits until none has for a while
         while self.ctx.nowUs() < min(untilUs, self.askedUs + LINGER_US):
             await self.ctx.rest(waitUs=50_000)
-        await asyncio.gather(self.leadDuty.lease.drop(), self.slotDuty.lease.drop())
+        await asyncio.gather(self.leadDuty.lease.drop(), self.slotDuty.lease.drop(), self.windowDuty.lease.drop())
         await self.crowd.leave()
         self.yard.stop()
 
--- a/src/cinderstair/stall/statuspage.py
+++ b/src/cinderstair/stall/statuspage.py
@@ -58,7 +58,8 @@
                 }
                 for database, lead in sorted(self.view.leads.items())
             },
-            "held": {database: why for database, why in self.leads.reasons.items() if why},
+            "held": {database: why for database, why in self._held().items()},
+            "windows": self._windows(),
             "duties": ["lead"] if self.leads.lease.held else [],
             "backends": {name: self._backend(name=name) for name in sorted(self.yard.pools)},
             "shares": {database: list(names) for database, names in self.yard.shares.items()},
@@ -66,6 +67,33 @@
             "queueMost": self.yard.queueMost,
         }
 
+    def _held(self) -> dict[str, str]:
+        """Why anything can't go on, as far as this stall's duties know."""
+        held = {database: why for database, why in self.leads.reasons.items() if why}
+        return {**held, **self.leads.syncHolds, **self.leads.windowHolds}
+
+    def _windows(self) -> dict[str, Any]:
+        """Each booked window: its stage, what it still has to empty, and what holds it back."""
+        charter = self.view.charter
+        leaving = self.view.leaving
+        windows: dict[str, Any] = {}
+        for window in () if charter is None else charter.windows:
+            mine = [name for name, ws in leaving.backends.items() if window.name in ws]
+            left = [
+                f"{name} {'leads' if lead.primary == name else 'is in sync for'} {database}"
+                for database, lead in sorted(self.view.leads.items())
+                for name in mine
+                if name in (lead.primary, *lead.confirmers)
+            ]
+            windows[window.name] = {
+                "stage": self.view.windowStates.stage(window=window).name,
+                "empties": window.empties.text,
+                "backends": mine,
+                "stalls": [name for name, ws in leaving.stalls.items() if window.name in ws],
+                "left": left,
+            }
+        return windows
+
     def _backend(self, *, name: str) -> dict[str, Any]:
         pool, heard = self.yard.pools[name], self.news.latest(name=name)
         return {
--- a/src/cinderstair/stall/view.py
+++ b/src/cinderstair/stall/view.py
@@ -5,6 +5,8 @@
 from expression import Result
 from reactivex.subject import Subject
 
+from ..almanac.leaving import Leaving, leaving
+from ..almanac.windowstates import WINDOWS_KEY, WindowStates, readWindowStates
 from ..charter.chancery import CHARTER_KEY
 from ..charter.charter import Charter
 from ..charter.check import checkCharter
@@ -32,8 +34,11 @@
         self.known: dict[str, Found] = {}
         self.charter: Charter | None = None
         self.slots = Slots()
+        self.windowStates = WindowStates()
+        self.leaving = Leaving()
         self.leads: dict[str, Lead] = {}
         self.leadSinceUs: dict[str, int] = {}
+        self.plannedSinceUs: dict[str, int] = {}
         self.changes: Subject[str] = Subject()
         self.openQueue()
         self.every(everyUs=PULL_EVERY_US, command=self.pull, name="view")
@@ -84,6 +89,10 @@
             return self._applyCharter(raw=value)
         if key == SLOTS_KEY:
             self.slots = readSlots(data=value)
+        elif key == WINDOWS_KEY:
+            self.windowStates = readWindowStates(data=value)
+            self.ctx.log.info("windows: %s", ", ".join(f"{n} {s.name}" for n, _, _, s in self.windowStates.stages))
+            self._reckon()
         elif key == ROSTER_KEY:
             roster = readRoster(data=value)
             # why: whoever changed the roster may have died before telling the vaults
@@ -92,7 +101,10 @@
                 self.ctx.spawn(work=self.register.tellAll(roster=roster), name="tell.roster")
         elif key.startswith("lead/"):
             database = key.removeprefix("lead/")
-            self.leads[database] = readLead(data=value)
+            before, lead = self.leads.get(database), readLead(data=value)
+            if lead.planned and (before is None or not before.planned):
+                self.plannedSinceUs[database] = self.ctx.nowUs()
+            self.leads[database] = lead
             self.leadSinceUs[database] = self.ctx.nowUs()
         return True
 
@@ -107,9 +119,13 @@
             self.ctx.counters.add(name="view.backwards")
             return False
         self.charter = checked.ok
+        self._reckon()
         self.ctx.log.info("configuration %d in force", checked.ok.version)
         return True
 
+    def _reckon(self) -> None:
+        self.leaving = leaving(charter=self.charter, states=self.windowStates)
+
     def lead(self, *, database: str) -> Lead | None:
         return self.leads.get(database)
 
--- a/src/cinderstair/stall/yard.py
+++ b/src/cinderstair/stall/yard.py
@@ -42,8 +42,14 @@
     def usable(self, *, name: str) -> bool:
         """May new jobs go there?"""
         pool = self.pools.get(name)
+        # why: what a window empties keeps what it still leads, until the lead has moved, and gets nothing else
+        if name in self.view.leaving.backends and not self._leads(name=name):
+            return False
         return pool is not None and pool.limit > 0 and self.news.fit(name=name) and not pool.shunned
 
+    def _leads(self, *, name: str) -> bool:
+        return any(lead.primary == name for lead in self.view.leads.values())
+
     def open(self, *, name: str) -> bool:
         """Whether this stall may have channels there at all."""
         pool = self.pools.get(name)
@@ -68,7 +74,8 @@
                 if name in self.pools:
                     self.pools[name].shutIdle()
         held = frozenset((lead.primary, lead.confirmers) for lead in self.view.leads.values())
-        inputs = (charter.version, self.view.slots, frozenset(self.unfitSinceUs), held)
+        away = frozenset(self.unfitSinceUs), frozenset(self.view.leaving.backends)
+        inputs = (charter.version, self.view.slots, away, held)
         if inputs != self.inputs:
             self.inputs = inputs
             self._compute()
@@ -80,7 +87,7 @@
         self.computed += 1
         myId = self.view.slots.idOf(name=self.ctx.name)
         ids = self.view.slots.ids
-        unfit = frozenset(self.unfitSinceUs)
+        unfit = frozenset(self.unfitSinceUs) | frozenset(self.view.leaving.backends)
         wanted: dict[str, int] = {}
         for database, names in charter.databases.items():
             size = charter.amount(name="subsetSize", database=database)
--- a/src/cinderstair/steward/lead.py
+++ b/src/cinderstair/steward/lead.py
@@ -5,7 +5,8 @@
 from ..pitch.packer import Packer
 from ..pitch.unpacker import Unpacker
 
-SETTLED, MOVING = "settled", "moving"
+SETTLED, CLOSING, MOVING = "settled", "closing", "moving"
+STATES = (SETTLED, CLOSING, MOVING)
 
 
 def leadKey(*, database: str) -> str:
@@ -16,6 +17,8 @@
 class Lead:
     """The value of a database's lead key.
 
+    closing: settled, and about to move as planned; what is open may finish, nothing new begins.
+
     inSync: durable at each of these, or not acknowledged; any of them may be promoted.
     joining: acknowledgements wait for these too, and they may not be promoted yet.
     heirs: hold all that earlier terms acknowledged; they count while nobody is in sync, since then
@@ -29,6 +32,12 @@
     inSync: tuple[str, ...] = ()
     joining: tuple[str, ...] = ()
     heirs: tuple[str, ...] = ()
+    planned: bool = False
+
+    @property
+    def serves(self) -> bool:
+        """Whether what is open may go on: settled, or closing before a planned move."""
+        return self.state in (SETTLED, CLOSING)
 
     @property
     def confirmers(self) -> tuple[str, ...]:
@@ -36,7 +45,7 @@
 
     def bytes(self) -> bytes:
         packer = Packer().u64(value=self.term).text(value=self.primary).u64(value=self.incarnation)
-        packer.u8(value=int(self.state == MOVING))
+        packer.u8(value=STATES.index(self.state)).u8(value=int(self.planned))
         for names in (self.inSync, self.joining, self.heirs):
             packer.many(values=names, each=lambda p, n: p.text(value=n))
         return packer.bytes()
@@ -45,7 +54,7 @@
 def readLead(*, data: bytes) -> Lead:
     unpacker = Unpacker(data=data)
     term, primary, incarnation = unpacker.u64(), unpacker.text(), unpacker.u64()
-    state = MOVING if unpacker.u8() else SETTLED
+    state, planned = STATES[min(unpacker.u8(), len(STATES) - 1)], bool(unpacker.u8())
     inSync, joining, heirs = (tuple(unpacker.many(each=lambda u: u.text())) for _ in range(3))
     unpacker.done()
     return Lead(
@@ -56,4 +65,5 @@
         inSync=inSync,
         joining=joining,
         heirs=heirs,
+        planned=planned,
     )
--- a/src/cinderstair/steward/leadduty.py
+++ b/src/cinderstair/steward/leadduty.py
@@ -18,7 +18,7 @@
 from ..stall.yard import Yard
 from ..vault.lease import Lease
 from ..vault.register import Register
-from .lead import MOVING, SETTLED, Lead, leadKey
+from .lead import CLOSING, MOVING, SETTLED, Lead, leadKey
 from .platform import Platform
 
 TICK_US = 200_000
@@ -58,6 +58,8 @@
         self.badSinceUs: dict[str, int] = {}
         self.firstSeenUs: dict[str, int] = {}
         self.reasons: dict[str, str] = {}
+        self.windowHolds: dict[str, str] = {}
+        self.syncHolds: dict[str, str] = {}
         self.openQueue()
         self.every(everyUs=TICK_US, command=self._tick, name="lead")
 
@@ -71,6 +73,11 @@
                 self.badSinceUs.clear()
                 self.passed.clear()
         charter = self.view.charter
+        # why: what held back a former holder is no longer its to say
+        if not self.lease.held:
+            self.reasons.clear()
+            self.windowHolds.clear()
+            self.syncHolds.clear()
         if not self.lease.held or not self.view.current or charter is None:
             return
         for database in charter.databases:
@@ -87,7 +94,9 @@
                 await self._finish(database=database, charter=charter, lead=lead)
             elif reason := await self._mustMove(lead=lead, charter=charter):
                 await self._startMove(database=database, charter=charter, lead=lead, reason=reason)
-            else:
+            elif lead.state == CLOSING:
+                await self._close(database=database, charter=charter, lead=lead)
+            elif not await self._obeyWindow(database=database, lead=lead):
                 await self._tendSets(database=database, charter=charter, lead=lead)
         finally:
             self.tending.discard(database)
@@ -166,6 +175,34 @@
             return ""
         return "is quiet"
 
+    def _staying(self, *, names: tuple[str, ...]) -> tuple[str, ...]:
+        """Those that no open window wants empty, and that are fit."""
+        return tuple(n for n in names if n not in self.view.leaving.backends and self.news.fit(name=n))
+
+    async def _obeyWindow(self, *, database: str, lead: Lead) -> bool:
+        """Begins a planned move where a window wants the primary empty; True where it has begun."""
+        why = self.view.leaving.why(name=lead.primary)
+        if not why:
+            self.windowHolds.pop(database, None)
+            return False
+        # why: a window never takes the last that could lead; it waits, and says so, until another is in sync
+        if not self._staying(names=lead.inSync):
+            self.windowHolds[database] = f"{why} holds back: nobody outside it is in sync to follow {lead.primary}"
+            return False
+        self.windowHolds.pop(database, None)
+        self.ctx.log.info("%s: %s empties %s", database, why, lead.primary)
+        return await self._put(database=database, old=lead, new=replace(lead, state=CLOSING, planned=True))
+
+    async def _close(self, *, database: str, charter: Charter, lead: Lead) -> None:
+        """Open transactions may still finish; then the lead moves. A window that is gone is obeyed no more."""
+        why = self.view.leaving.why(name=lead.primary)
+        if not why or not self._staying(names=lead.inSync):
+            await self._put(database=database, old=lead, new=replace(lead, state=SETTLED, planned=False))
+            return
+        closeUs = charter.amount(name="closeWait", database=database)
+        if self.ctx.nowUs() - self.view.leadSinceUs[database] >= closeUs:
+            await self._startMove(database=database, charter=charter, lead=lead, reason=f"must leave ({why})")
+
     async def _candidate(
         self, *, lead: Lead, charter: Charter, holders: tuple[str, ...]
     ) -> tuple[str, Reading] | None:
@@ -173,10 +210,11 @@
         names = tuple(name for name in holders if name in charter.backends)
         readings = await self._gauges(names=names)
 
-        def rank(name: str) -> tuple[bool, bool, int]:
+        def rank(name: str) -> tuple[bool, bool, bool, int]:
             heard = self.news.latest(name=name)
             empties = heard is not None and heard.beat.state == EMPTYING
-            return not empties, name != lead.primary, readings[name].received
+            stays = name not in self.view.leaving.backends
+            return not empties, stays, name != lead.primary, readings[name].received
 
         if not readings:
             return None
@@ -192,7 +230,7 @@
             return
         name, reading = found
         # why: moving from an emptying primary to itself would be no move, only an outage
-        if name == lead.primary and reason == "is emptying":
+        if name == lead.primary and (reason == "is emptying" or lead.state == CLOSING):
             self._say(database=database, reason=f"{lead.primary} {reason}, and nobody can take its place")
             return
         self.ctx.log.info("%s: %s %s; moves to %s", database, lead.primary, reason, name)
@@ -203,6 +241,8 @@
             incarnation=reading.incarnation,
             state=MOVING,
             inSync=tuple(holder for holder in holders if holder != name),
+            # why: where the primary still serves the move is short and sure, and clients may wait for its end
+            planned=lead.state == CLOSING or reason == "is emptying",
         )
         await self._put(database=database, old=lead, new=new)
 
@@ -225,7 +265,8 @@
             # why: nothing is acknowledged before the lead is settled, so whoever has the new term's
             # beginning now, and is waited for from the first commit on, is in sync
             most = charter.amount(name="inSync", database=database)
-            following = tuple(n for n, r in readings.items() if r.term == lead.term and r.received >= base)[:most]
+            following = tuple(n for n, r in readings.items() if r.term == lead.term and r.received >= base)
+            following = tuple(sorted(following, key=lambda n: n in self.view.leaving.backends))[:most]
             if following or self.ctx.nowUs() > followUntilUs:
                 break
             await self.ctx.rest(waitUs=100_000)
@@ -234,6 +275,7 @@
             state=SETTLED,
             inSync=following,
             joining=(),
+            planned=False,
             # why: until somebody is in sync nothing new is acknowledged, so who could be placed still can be
             heirs=() if following else lead.inSync,
             incarnation=reading.ok.incarnation,
@@ -258,6 +300,7 @@
             incarnation=found[1].incarnation,
             state=MOVING,
             inSync=holders,
+            planned=lead.planned,
         )
         await self._put(database=database, old=lead, new=new)
 
@@ -265,7 +308,9 @@
         """Who is in sync: drops those that lag, and takes in those that follow, in two steps."""
         names = charter.databases.get(database, ())
         nowUs = self.ctx.nowUs()
-        readings = await self._gauges(names=tuple(n for n in names if self.news.fit(name=n)))
+        # why: what stands empty is not even asked how far it is, unless somebody still rests on it
+        asked = (lead.primary, *lead.confirmers, *self._staying(names=names))
+        readings = await self._gauges(names=tuple(n for n in dict.fromkeys(asked) if self.news.fit(name=n)))
         primary = readings.get(lead.primary)
         if primary is None or not primary.leads or primary.term != lead.term:
             return
@@ -276,7 +321,7 @@
         # why: a replica keeps up if it has by now what the primary had a little while ago
         mark = min((p for _, term, p in passed if term == lead.term), default=primary.received)
         good = {n for n, r in readings.items() if r.term == lead.term and r.received >= mark}
-        changed = self._dropped(lead=lead, good=good, nowUs=nowUs)
+        changed = self._dropped(database=database, lead=lead, good=good, nowUs=nowUs)
         if changed is None:
             most = charter.amount(name="inSync", database=database)
             changed = await self._joined(database=database, lead=lead, names=names, good=good, most=most)
@@ -287,7 +332,8 @@
         else:
             self._say(database=database, reason="no replica is in sync; writes are denied")
 
-    def _dropped(self, *, lead: Lead, good: set[str], nowUs: int) -> Lead | None:
+    def _dropped(self, *, database: str, lead: Lead, good: set[str], nowUs: int) -> Lead | None:
+        self.syncHolds.pop(database, None)
         for name in lead.confirmers:
             if name in good:
                 self.badSinceUs.pop(name, None)
@@ -300,6 +346,11 @@
             if name in self.badSinceUs and (not self.news.fit(name=name) or nowUs - self.badSinceUs[name] > LAG_US)
         ]
         inSync = tuple(name for name in lead.inSync if name not in bad)
+        # why: what a window wants empty leaves the set as soon as somebody outside the window is in it
+        if any(name in good for name in self._staying(names=inSync)):
+            inSync = tuple(name for name in inSync if name not in self.view.leaving.backends)
+        elif any(name in self.view.leaving.backends for name in inSync):
+            self.syncHolds[database] = f"window holds back: {', '.join(inSync)} alone in sync"
         # why: the last one in sync stays, for it alone could replace a primary that dies now
         if lead.inSync and not inSync:
             inSync = lead.inSync[:1]
@@ -329,7 +380,8 @@
                 return replace(lead, inSync=(*lead.inSync, *arrived), joining=joining, heirs=())
             return None
         fresh = tuple(n for n in names if n in good and n != lead.primary and n not in lead.confirmers)
-        room = most - len(lead.inSync)
+        fresh = tuple(n for n in fresh if n not in self.view.leaving.backends)
+        room = most - sum(name not in self.view.leaving.backends for name in lead.inSync)
         if fresh and room > 0 and not lead.joining:
             return replace(lead, joining=fresh[:room])
         return None
--- /dev/null
+++ b/src/cinderstair/steward/windowduty.py
@@ -0,0 +1,51 @@
+"""The duty of turning booked windows into stages in the register, by one machine's calendar clock."""
+
+from expression import Error, Ok, Result
+
+from ..almanac.windowstates import WINDOWS_KEY, readWindowStates
+from ..pitch.context import Context
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.ownermixin import OwnerMixin
+from ..stall.view import View
+from ..vault.lease import Lease
+from ..vault.register import Register
+
+TICK_US = 500_000
+RENEW_US = 1_000_000
+WINDOW_DUTY = "windows"
+
+
+class WindowDuty(OwnerMixin):
+    """Stalls act on the stages and never on their own clocks, so that all act on the same word."""
+
+    def __init__(self, *, ctx: Context, register: Register, view: View) -> None:
+        self.ctx = ctx
+        self.register = register
+        self.view = view
+        self.lease = Lease(ctx=ctx, register=register, duty=WINDOW_DUTY)
+        self.soughtUs = -RENEW_US
+        self.openQueue()
+        self.every(everyUs=TICK_US, command=self._tick, name="windows")
+
+    async def _tick(self) -> None:
+        if self.ctx.nowUs() - self.soughtUs >= RENEW_US:
+            self.soughtUs = self.ctx.nowUs()
+            await self.lease.seek()
+        charter = self.view.charter
+        if not self.lease.held or not self.view.current or charter is None:
+            return
+        wallUs = self.ctx.wallUs()
+        wanted = self.view.windowStates.turned(windows=charter.windows, wallUs=wallUs)
+        if wanted == self.view.windowStates:
+            return
+
+        def decide(data: bytes) -> Result[bytes, Fault]:
+            # why: another holder's clock may have turned a window meanwhile, and its word stands
+            turned = readWindowStates(data=data).turned(windows=charter.windows, wallUs=wallUs)
+            if turned.bytes() == data:
+                return Error(Fault(kind=Kind.versionTaken, why="turned already"))
+            return Ok(turned.bytes())
+
+        result = await self.register.change(key=WINDOWS_KEY, decide=decide)
+        self.view.takeOwn(key=WINDOWS_KEY, result=result)
