What-if simulator: the daemons' own functions, and a rehearsal by the daemons

Also mended, cause: a replica that joined was waited for before every stall had channels to it, so writes were denied or ended unknown for up to 2.4 s. A window keeps one replica in sync when none outside is, where it kept two. Ruled out: asking joining replicas over channels beside the cap.

--- a/src/cinderstair/__main__.py
+++ b/src/cinderstair/__main__.py
@@ -17,6 +17,7 @@
     SubmitVerb,
 )
 from .counter.roleverb import StallVerb, VaultVerb
+from .counter.simulateverb import SimulateVerb
 
 USAGE = 2
 
@@ -34,6 +35,7 @@
         OverrideVerb,
         ReplaceVaultVerb,
         CheckVerb,
+        SimulateVerb,
     ):
         app.add(verb())
     app.auto_exits(False)
--- /dev/null
+++ b/src/cinderstair/almanac/windowstates.feature
@@ -0,0 +1,31 @@
+Feature: Stages of windows
+  One duty turns booked windows to stages by its calendar; no stage goes back, whoever turns it next.
+
+  Scenario Outline: A window from 10 to 20, at <times>, is <stages>
+    Given a window from 10 to 20
+    When it is turned at the times <times>
+    Then its stages are <stages>
+
+    Examples: the third row is a holder's clock behind the last one's
+      | times          | stages                        |
+      | 9 10 19 20     | booked open open ended        |
+      | 5 25 26        | booked ended ended            |
+      | 10 8 15 20 18  | open open open ended ended    |
+
+  Scenario: A window whose times are changed is another window, and one that is gone is forgotten
+    Given a window from 10 to 20
+    When it is turned at the times 12
+    And its times become 30 to 40
+    And it is turned at the times 13
+    Then its stages are booked
+
+  Scenario Outline: <why>
+    Given a configuration with halls and windows over each other
+    When the windows <names> are open
+    Then the backends <backends> and the stalls <stalls> are to stand empty
+
+    Examples:
+      | why                              | names     | backends      | stalls |
+      | nothing booked empties nothing   | none      | none          | none   |
+      | one window                       | one       | a b           | s1     |
+      | overlapping windows count together | one two | a b c         | s1 s2  |
--- a/src/cinderstair/fairground/trials.py
+++ b/src/cinderstair/fairground/trials.py
@@ -615,7 +615,7 @@
     trial.fault()
     trial.go(forUs=8_000_000)
     held = [world.stall(name=name).windowHeld for name in world.stallNames]
-    leads = [text for name in world.stallNames for text in world.stall(name=name).status._held().values()]
+    leads = [text for name in world.stallNames for text in world.stall(name=name).status.held().values()]
     if not all(held) or not any("holds back" in text for text in leads):
         trial.verdict.wrong.append(f"nobody says what holds back: {held} {leads}")
     trial.go(forUs=8_000_000)
--- a/src/cinderstair/fairground/world.py
+++ b/src/cinderstair/fairground/world.py
@@ -40,15 +40,22 @@
         changes: dict[str, Any] | None = None,
         cap: int = 60,
         logLevel: int = logging.CRITICAL,
+        stallNames: list[str] | None = None,
+        databaseNames: dict[str, list[str]] | None = None,
+        sites: dict[str, str] | None = None,
     ) -> None:
         self.seed = seed
         self.luck = random.Random(f"world/{seed}")
         self.loop = VirtualLoop()
         self.loop.set_exception_handler(self._wrong)
         self.wires = Wires(loop=self.loop, luck=random.Random(f"wires/{seed}"))
-        self.stallNames = [f"stall-{n}" for n in range(stalls)]
+        self.stallNames = stallNames if stallNames is not None else [f"stall-{n}" for n in range(stalls)]
+        self.sites = sites or {}
+        # why: some scenarios bring machines in later
+        self.late: set[str] = set()
         self.vaultNames = [f"vault-{n}" for n in range(vaults)]
-        self.databases = {f"db{d}": [f"db{d}-{c}" for c in "abc"] for d in range(databases)}
+        made = {f"db{d}": [f"db{d}-{c}" for c in "abc"] for d in range(databases)}
+        self.databases = databaseNames if databaseNames is not None else made
         self.changes = changes or {}
         self.cap = cap
         self.disks: dict[str, SimDisk] = {}
@@ -78,7 +85,7 @@
         return [name for names in self.databases.values() for name in names]
 
     def databaseOf(self, *, name: str) -> str:
-        return name.partition("-")[0]
+        return next(database for database, names in self.databases.items() if name in names)
 
     def http(self, *, name: str) -> str:
         return f"{self.addresses[name]}:7200"
@@ -87,7 +94,7 @@
         return f"{self.addresses[name]}:7100"
 
     def siteOf(self, *, name: str) -> str:
-        return SITES[(ord(name[-1])) % len(SITES)]
+        return self.sites.get(name) or SITES[ord(name[-1]) % len(SITES)]
 
     @property
     def nowUs(self) -> int:
@@ -124,7 +131,7 @@
             clock=lambda: self.nowUs + skewUs,
             wall=lambda: WALL_START_US + self.nowUs + wallSkewUs,
             net=SimNet(wires=self.wires, boot=boot),
-            disk=disk if not name.startswith("stall") else NoDisk(),
+            disk=disk if name not in self.stallNames else NoDisk(),
             log=log,
             counters=Counters(),
         )
@@ -137,9 +144,9 @@
         self.wires.runAt(boot=boot, work=self._run(name=name, ctx=ctx))
 
     async def _run(self, *, name: str, ctx: Context) -> None:
-        if name.startswith("vault"):
+        if name in self.vaultNames:
             thing: Any = Vault(ctx=ctx, settings=self.settings(name=name), halt=self._halter(name=name))
-        elif name.startswith("stall"):
+        elif name in self.stallNames:
             thing = Stall(ctx=ctx, settings=self.settings(name=name))
         elif name == "platform":
             backends = {
@@ -169,7 +176,8 @@
 
     def startAll(self) -> None:
         for name in self.addresses:
-            self.start(name=name)
+            if name not in self.late:
+                self.start(name=name)
 
     def kill(self, *, name: str) -> None:
         boot = self.boots[name]
@@ -287,9 +295,13 @@
         }
         return json.dumps(document).encode()
 
+    def ups(self) -> list[str]:
+        """The stalls that are up."""
+        return [name for name in self.stallNames if self.up(name=name)]
+
     def ready(self) -> bool:
         """Every stall that is up is ready, and every database is led with somebody in sync."""
-        ups = [self.stall(name=name) for name in self.stallNames if self.up(name=name)]
+        ups = [self.stall(name=name) for name in self.ups()]
         return bool(ups) and all(
             stall.ready.unready() is None
             and all(
@@ -303,16 +315,17 @@
             for stall in ups
         )
 
-    def begin(self) -> None:
+    def begin(self, *, raw: bytes = b"") -> None:
         """From nothing to a system that serves."""
         self.startAll()
+        first = [name for name in self.stallNames if name not in self.late]
         self.awaitThat(
-            test=lambda: all(self.up(name=n) and self.stall(name=n).view.current for n in self.stallNames),
+            test=lambda: all(self.up(name=n) and self.stall(name=n).view.current for n in first),
             withinUs=20_000_000,
             what="views current",
         )
         status, body = self.ask(
-            name="stall-0", method="PUT", path="/v1/configuration", body=self.configuration(version=1)
+            name=first[0], method="PUT", path="/v1/configuration", body=raw or self.configuration(version=1)
         )
         assert status == 200, body
         self.awaitThat(test=self.ready, withinUs=30_000_000, what="ready")
--- a/src/cinderstair/stall/statuspage.py
+++ b/src/cinderstair/stall/statuspage.py
@@ -58,7 +58,7 @@
                 }
                 for database, lead in sorted(self.view.leads.items())
             },
-            "held": {database: why for database, why in self._held().items()},
+            "held": {database: why for database, why in self.held().items()},
             "windows": self._windows(),
             "duties": ["lead"] if self.leads.lease.held else [],
             "backends": {name: self._backend(name=name) for name in sorted(self.yard.pools)},
@@ -67,7 +67,7 @@
             "queueMost": self.yard.queueMost,
         }
 
-    def _held(self) -> dict[str, str]:
+    def held(self) -> dict[str, str]:
         """Why anything can't go on, as far as this stall's duties know."""
         held = {database: why for database, why in self.leads.reasons.items() if why}
         return {**held, **self.leads.syncHolds, **self.leads.windowHolds}
--- a/src/cinderstair/steward/leadduty.py
+++ b/src/cinderstair/steward/leadduty.py
@@ -27,6 +27,7 @@
 VIEW_MARGIN_US = 300_000
 LAG_US = 1_000_000
 FOLLOW_WAIT_US = 1_500_000
+GROWN_US = 1_300_000
 FIRST_WAIT_US = 4_000_000
 LEAD_DUTY = "lead"
 
@@ -57,6 +58,7 @@
         self.passed: dict[str, deque[tuple[int, int, int]]] = {}
         self.badSinceUs: dict[str, int] = {}
         self.firstSeenUs: dict[str, int] = {}
+        self.fitSinceUs: dict[str, int] = {}
         self.reasons: dict[str, str] = {}
         self.windowHolds: dict[str, str] = {}
         self.syncHolds: dict[str, str] = {}
@@ -321,6 +323,9 @@
         # why: a replica keeps up if it has by now what the primary had a little while ago
         mark = min((p for _, term, p in passed if term == lead.term), default=primary.received)
         good = {n for n, r in readings.items() if r.term == lead.term and r.received >= mark}
+        self.fitSinceUs = {name: self.fitSinceUs.get(name, nowUs) for name in self._staying(names=names)} | {
+            name: sinceUs for name, sinceUs in self.fitSinceUs.items() if name not in names
+        }
         changed = self._dropped(database=database, lead=lead, good=good, nowUs=nowUs)
         if changed is None:
             most = charter.amount(name="inSync", database=database)
@@ -350,7 +355,9 @@
         if any(name in good for name in self._staying(names=inSync)):
             inSync = tuple(name for name in inSync if name not in self.view.leaving.backends)
         elif any(name in self.view.leaving.backends for name in inSync):
-            self.syncHolds[database] = f"window holds back: {', '.join(inSync)} alone in sync"
+            # why: one that a window wants empty has to stay in sync, and one is enough
+            inSync = tuple(sorted(inSync, key=lambda name: name not in good))[:1]
+            self.syncHolds[database] = f"window holds back: nobody outside it is in sync, so {inSync[0]} stays"
         # why: the last one in sync stays, for it alone could replace a primary that dies now
         if lead.inSync and not inSync:
             inSync = lead.inSync[:1]
@@ -380,7 +387,10 @@
                 return replace(lead, inSync=(*lead.inSync, *arrived), joining=joining, heirs=())
             return None
         fresh = tuple(n for n in names if n in good and n != lead.primary and n not in lead.confirmers)
-        fresh = tuple(n for n in fresh if n not in self.view.leaving.backends)
+        # why: every commit waits for one that joins, so it joins when every stall has had the time to grow
+        # its channels to it; before that, writes would have to be denied for want of them
+        ripeUs = self.ctx.nowUs() - self.view.leaseUs - GROWN_US
+        fresh = tuple(n for n in self._staying(names=fresh) if self.fitSinceUs.get(n, 1 << 62) <= ripeUs)
         room = most - sum(name not in self.view.leaving.backends for name in lead.inSync)
         if fresh and room > 0 and not lead.joining:
             return replace(lead, joining=fresh[:room])
--- /dev/null
+++ b/steps/almanacsteps.py
@@ -0,0 +1,150 @@
+"""Steps for windows and what-if questions."""
+
+import json
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+
+from cinderstair.almanac.leaving import leaving
+from cinderstair.almanac.whatif import openStates
+from cinderstair.almanac.window import Window
+from cinderstair.almanac.windowstates import WindowStates, readWindowStates
+from cinderstair.charter.check import checkCharter
+from cinderstair.charter.compiler import compileSelector
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+@given("a window from {starts:d} to {ends:d}")
+def given_window(context: Any, starts: int, ends: int) -> None:
+    context.window = Window(name="w", startsUs=starts, endsUs=ends, empties=compileSelector(text="has x").ok)
+    context.states = WindowStates()
+
+
+@when("its times become {starts:d} to {ends:d}")
+def when_times(context: Any, starts: int, ends: int) -> None:
+    context.window = Window(name="w", startsUs=starts, endsUs=ends, empties=context.window.empties)
+
+
+@when("it is turned at the times {times}")
+def when_turned(context: Any, times: str) -> None:
+    context.stages = []
+    for time in times.split():
+        turned = context.states.turned(windows=(context.window,), wallUs=int(time))
+        # why: what is turned is what the next holder reads back from the register
+        context.states = readWindowStates(data=turned.bytes())
+        context.stages.append(context.states.stage(window=context.window).name)
+
+
+@then("its stages are {stages}")
+def then_stages(context: Any, stages: str) -> None:
+    assert context.stages == stages.split(), context.stages
+
+
+@given("a configuration with halls and windows over each other")
+def given_halls(context: Any) -> None:
+    times = {"starts": "2026-12-04T22:00:00Z", "ends": "2026-12-05T22:00:00Z"}
+    document = {
+        "version": 1,
+        "databases": {
+            "db": {
+                "backends": [
+                    {"name": n, "address": f"10.0.0.{i}:1", "site": "k", "cap": 9, "labels": {"hall": hall}}
+                    for i, (n, hall) in enumerate((("a", "old"), ("b", "old"), ("c", "mid"), ("d", "new")), start=1)
+                ]
+            }
+        },
+        "stalls": {"s1": {"hall": "old"}, "s2": {"hall": "mid"}, "s3": {"hall": "new"}},
+        "windows": [
+            {"name": "one", "empties": "hall = old", **times},
+            {"name": "two", "empties": "hall in (old, mid)", **times},
+        ],
+    }
+    context.charter = checkCharter(raw=json.dumps(document).encode()).ok
+
+
+@when("the windows {names} are open")
+def when_open(context: Any, names: str) -> None:
+    states = openStates(charter=context.charter, names=tuple(names.split()))
+    context.leaving = leaving(charter=context.charter, states=states)
+
+
+@then("the backends {backends} and the stalls {stalls} are to stand empty")
+def then_leaving(context: Any, backends: str, stalls: str) -> None:
+    wanted = [set() if names == "none" else set(names.split()) for names in (backends, stalls)]
+    assert [set(context.leaving.backends), set(context.leaving.stalls)] == wanted, context.leaving
+
+
+def simulate(*, scenario: Path, words: tuple[str, ...] = ()) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "cinderstair", "simulate", str(EXAMPLES / "configuration.json"), str(scenario)]
+    return subprocess.run([*command, *words], capture_output=True, text=True, timeout=120, check=False)
+
+
+@when("the example is simulated")
+def when_example(context: Any) -> None:
+    context.result = simulate(scenario=EXAMPLES / "scenario.json")
+    context.answer = json.loads(context.result.stdout)
+
+
+@when("the example is simulated with {scenario}")
+def when_scenario(context: Any, scenario: str) -> None:
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write(scenario)
+        file.flush()
+        context.result = simulate(scenario=Path(file.name))
+    context.answer = json.loads(context.result.stdout or "{}")
+
+
+@then('the league\'s window finishes and the ledger\'s is held back because "{words}"')
+def then_held(context: Any, words: str) -> None:
+    windows = context.answer["windows"]
+    assert windows["league"]["finishes"] and not windows["ledger"]["finishes"], windows
+    assert any(words in step for step in windows["ledger"]["steps"]), windows
+    assert context.result.returncode == 1
+
+
+@then("no backend's cap is exceeded, before or after")
+def then_caps(context: Any) -> None:
+    for when_ in ("before", "after"):
+        for name, backend in context.answer[when_]["backends"].items():
+            assert 0 <= backend["headroom"] <= backend["cap"], (name, backend)
+            assert backend["channels"] + backend["headroom"] == backend["cap"]
+
+
+@then("simulating it again prints the same")
+def then_same(context: Any) -> None:
+    assert simulate(scenario=EXAMPLES / "scenario.json").stdout == context.result.stdout
+
+
+@then("{closed:d} channels are closed and {opened:d} opened")
+def then_moves(context: Any, closed: int, opened: int) -> None:
+    moves = context.answer["moves"]
+    assert (moves["closedInAll"], moves["openedInAll"]) == (closed, opened), moves
+
+
+@then("as many channels are opened as closed")
+def then_even(context: Any) -> None:
+    moves = context.answer["moves"]
+    assert moves["openedInAll"] == moves["closedInAll"] > 0, moves
+
+
+@when("the example is rehearsed twice")
+def when_rehearsed(context: Any) -> None:
+    context.results = [simulate(scenario=EXAMPLES / "scenario.json", words=("--rehearse",)) for _ in range(2)]
+
+
+@then("both say that ledger-a or ledger-b stays in sync, that no session was lost, and the same figures")
+def then_rehearsed(context: Any) -> None:
+    first, second = (json.loads(result.stdout)["rehearsal"] for result in context.results)
+    assert first == second, (first, second)
+    assert first["sessionsLost"] == 0 and first["done"] > 300, first
+    assert any(f"ledger-{c} stays" in text for c in "ab" for text in first["heldBack"]), first
+
+
+@then('it exits with {code:d} and says "{words}"')
+def then_says(context: Any, code: int, words: str) -> None:
+    assert context.result.returncode == code and words in context.result.stderr, context.result
