--- a/src/cinderstair/fairground/fleet.feature
+++ b/src/cinderstair/fairground/fleet.feature
@@ -17,6 +17,14 @@
     Then it ends with exit code 0, and its clients go elsewhere
     And every checker finds nothing in the whole history
 
+  Scenario: A hall is emptied by a booked window, and filled again after
+    Given a fleet of 3 stalls, 5 vaults and 1 database, at work with 12 clients
+    When an operator books a window over the primary and stall-2
+    Then the primary has moved, stall-2 stands empty, and the status verb says so
+    When the window has ended
+    Then stall-2 is ready, the old hall's backend is used again, and no session was lost
+    And every checker finds nothing in the whole history
+
   Scenario Outline: Started wrongly, a process says why in one line and exits with 2
     When the program is run with <words>
     Then it exits with <code> and one line that holds "<line>"
--- a/src/cinderstair/fairground/fleet.py
+++ b/src/cinderstair/fairground/fleet.py
@@ -171,18 +171,28 @@
                     return False
         return True
 
-    def configuration(self, *, version: int, **extra: Any) -> bytes:
+    def configuration(self, *, version: int, old: tuple[str, ...] = (), **extra: Any) -> bytes:
+        def hall(name: str) -> dict[str, str]:
+            return {"hall": "old" if name in old else "new"}
+
         document = {
             "version": version,
             "databases": {
                 database: {
                     "backends": [
-                        {"name": n, "address": self.http(name=n), "site": self.site(name=n), "cap": CAP}
+                        {
+                            "name": n,
+                            "address": self.http(name=n),
+                            "site": self.site(name=n),
+                            "cap": CAP,
+                            "labels": hall(n),
+                        }
                         for n in names
                     ]
                 }
                 for database, names in self.databases.items()
             },
+            "stalls": {name: hall(name) for name in self.stallNames},
             **extra,
         }
         return json.dumps(document).encode()
--- a/steps/almanacsteps.py
+++ b/steps/almanacsteps.py
@@ -99,7 +99,7 @@
     context.answer = json.loads(context.result.stdout or "{}")
 
 
-@then('the league\'s window finishes and the ledger\'s is held back because "{words}"')
+@then("the league's window finishes and the ledger's is held back because \"{words}\"")
 def then_held(context: Any, words: str) -> None:
     windows = context.answer["windows"]
     assert windows["league"]["finishes"] and not windows["ledger"]["finishes"], windows
--- a/steps/fleetsteps.py
+++ b/steps/fleetsteps.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import time
+from datetime import datetime, timedelta, timezone
 from typing import Any
 
 from behave import given, then, when
@@ -181,6 +182,64 @@
     assert commits(context=context, sinceUs=0) > 100
 
 
+@when("an operator books a window over the primary and stall-2")
+def when_books(context: Any) -> None:
+    fleet = context.fleet
+
+    async def go() -> None:
+        context.primary = (await fleet.status(name="stall-0"))["leads"]["db0"]["primary"]
+        context.lost = sum(caller.sessionsLost for caller in fleet.callers)
+        now = datetime.now(tz=timezone.utc)
+        times = {
+            "starts": (now + timedelta(seconds=2)).isoformat(),
+            "ends": (now + timedelta(seconds=25)).isoformat(),
+        }
+        windows = [{"name": "move", "empties": "hall = old", **times}]
+        result = await fleet.submit(version=2, old=(context.primary, "stall-2"), windows=windows)
+        assert result.returncode == 0, result.stderr
+
+    run(context=context, work=go())
+
+
+@then("the primary has moved, stall-2 stands empty, and the status verb says so")
+def then_moved(context: Any) -> None:
+    fleet = context.fleet
+
+    async def moved() -> bool:
+        lead = (await fleet.status(name="stall-0"))["leads"]["db0"]
+        held = (lead["primary"], *lead["inSync"], *lead["joining"])
+        emptied = await fleet.status(name="stall-2")
+        return lead["state"] == "settled" and context.primary not in held and emptied["sessions"] == 0
+
+    async def go() -> None:
+        await fleet.awaitThat(test=moved, withinUs=LONG_US, what="the old hall stands empty")
+        assert not await fleet.isReady(name="stall-2")
+
+    run(context=context, work=go())
+    text = fleet.verb("status").stdout
+    assert "window move: open" in text and "still there: nothing left" in text, text
+
+
+@when("the window has ended")
+def when_ended(context: Any) -> None:
+    async def ended() -> bool:
+        return (await context.fleet.status(name="stall-0"))["windows"]["move"]["stage"] == "ended"
+
+    run(context=context, work=context.fleet.awaitThat(test=ended, withinUs=LONG_US, what="the window has ended"))
+
+
+@then("stall-2 is ready, the old hall's backend is used again, and no session was lost")
+def then_refilled(context: Any) -> None:
+    fleet = context.fleet
+
+    async def used() -> bool:
+        status = await fleet.status(name="stall-0")
+        return status["backends"][context.primary]["channels"]["open"] > 0 and await fleet.isReady(name="stall-2")
+
+    run(context=context, work=fleet.awaitThat(test=used, withinUs=LONG_US, what="the old hall is used again"))
+    assert sum(caller.sessionsLost for caller in fleet.callers) == context.lost
+
+
 @when("the program is run with {words}")
 def when_program(context: Any, words: str) -> None:
     context.result = subprocess.run(
