--- a/src/cinderstair/__main__.py
+++ b/src/cinderstair/__main__.py
@@ -6,7 +6,7 @@
 from cleo.exceptions import CleoError
 
 from . import VERSION
-from .counter.checkverb import CheckVerb
+from .counter.checkverb import CheckVerb, FormatVerb
 from .counter.operatorverb import (
     CountersVerb,
     DrainVerb,
@@ -35,6 +35,7 @@
         OverrideVerb,
         ReplaceVaultVerb,
         CheckVerb,
+        FormatVerb,
         SimulateVerb,
     ):
         app.add(verb())
--- a/steps/chartersteps.py
+++ b/steps/chartersteps.py
@@ -1,12 +1,19 @@
 """Steps for the language and for checking configurations."""
 
 import json
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
 from typing import Any
 
 from behave import then, use_step_matcher, when
 
 from cinderstair.charter.check import checkCharter
 from cinderstair.charter.compiler import compileProgram, compileSelector
+from cinderstair.charter.formatter import formatProgram
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "configuration.json"
 
 MACHINES = ({"hall": "old", "rack": "a"}, {"hall": "new", "rack": "b"}, {"rack": "c", "tier": "gold"})
 
@@ -130,4 +137,36 @@
         assert any(words in warning for warning in context.result.ok.warnings), context.result.ok.warnings
 
 
+@then(r'formatting "(?P<text>.*)" gives "(?P<form>.*)"')
+def then_formatted(context: Any, text: str, form: str) -> None:
+    result = formatProgram(text=text)
+    assert result.is_ok() and result.ok == form, result
+
+
+def formatVerb(*, path: Path) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "cinderstair", "format", str(path)]
+    return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+
+
+@then(r"the format verb prints the example with the same meaning, and printing that again changes nothing")
+def then_verb(context: Any) -> None:
+    first = formatVerb(path=EXAMPLE)
+    before, after = checkCharter(raw=EXAMPLE.read_bytes()).ok, checkCharter(raw=first.stdout.encode()).ok
+    assert [r.where.text for r in before.program.routes] == [r.where.text for r in after.program.routes]
+    assert before.program.policies == after.program.policies and before.backends == after.backends
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write(first.stdout)
+        file.flush()
+        assert formatVerb(path=Path(file.name)).stdout == first.stdout
+
+
+@then(r"a document whose language is broken is refused with its place")
+def then_broken(context: Any) -> None:
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write(json.dumps({**good(), "language": "route live on * to"}))
+        file.flush()
+        result = formatVerb(path=Path(file.name))
+    assert result.returncode == 1 and "/language: line 1, column 19" in result.stderr, result
+
+
 use_step_matcher("parse")
