--- a/src/cinderstair/stall/filters/passfilter.py
+++ b/src/cinderstair/stall/filters/passfilter.py
@@ -73,7 +73,8 @@
             return self.deny(kind=Kind.transactionLost, why="the transaction was ended; nothing of it was kept")
         if job.kind == "write":
             return await self._rounds(job=job, one=self._write)
-        if job.kind == "primary":
+        # why: an operator may send reads that a replica could answer to the primary as well
+        if job.kind == "primary" or self.charter.route(kind=job.kind, database=session.database).target == "primary":
             return await self._rounds(job=job, one=self._primaryRead)
         return await self._rounds(job=job, one=self._replicaRead)
 
--- a/src/cinderstair/stall/stall.feature
+++ b/src/cinderstair/stall/stall.feature
@@ -57,3 +57,19 @@
     Then every client is answered within its time left
     And those denied were told crowded within 50 milliseconds, with when to come back
     And no backend was given more than 4 channels
+
+  Scenario: Routes and policies are obeyed as soon as they are in force
+    Given a system at work with an open session
+    When a configuration with the language "route live on * to replica where hall = old" is in force
+    Then 20 live reads all run at the replica in the old hall
+    When a configuration with the language "route live on * to deny; policy active on * is 3" is in force
+    Then a live read is denied with routeDenied, and a fresh read still runs
+    And no pool has room for more than 3 jobs
+    When a configuration with the language "route live, fresh on * to primary" is in force
+    Then 10 live reads all run at the primary
+
+  Scenario: A replica that answers too late is passed over, then the primary answers
+    Given a system at work with an open session
+    When both replicas apply 3 seconds late and something is written
+    Then a fresh read at once sees the session's own write
+    And a live read 1.6 seconds after it sees it too
--- a/src/cinderstair/stall/yard.py
+++ b/src/cinderstair/stall/yard.py
@@ -101,7 +101,8 @@
                 leads = lead is not None and name in (lead.primary, *lead.confirmers)
                 userIds = [n for n, held in subsets.items() if leads or name in held]
                 part = 0 if myId is None else allotment(cap=charter.backends[name].cap, userIds=userIds, stallId=myId)
-                wanted[name] = part
+                # why: the source's flow control, a bound on one backend's active jobs from one stall
+                wanted[name] = min(part, charter.amount(name="active", database=database))
         self._resize(wanted=wanted, backends=charter.backends)
 
     def _resize(self, *, wanted: dict[str, int], backends: dict[str, Backend]) -> None:
--- a/steps/stallsteps.py
+++ b/steps/stallsteps.py
@@ -220,3 +220,75 @@
 def then_capped(context: Any, cap: int) -> None:
     for name in context.world.backendNames():
         assert context.world.backend(name=name).mostLines <= cap
+
+
+@when('a configuration with the language "{language}" is in force')
+def when_language(context: Any, language: str) -> None:
+    world = context.world
+    charter = world.stall(name="stall-0").view.charter
+    context.old = world.stall(name="stall-0").view.leads["db0"].inSync[0]
+    body = world.configuration(version=charter.version + 1, old=(context.old,), language=language)
+    status, answer = ask(world=world, method="PUT", path="/v1/configuration", body=body)
+    assert status == 200, answer
+    world.awaitThat(
+        test=lambda: all(world.stall(name=n).view.charter.version > charter.version for n in world.stallNames),
+        withinUs=3_000_000,
+        what="in force",
+    )
+    world.advance(forUs=1_000_000)
+
+
+def readWhere(*, context: Any, kind: str, count: int) -> dict[str, int]:
+    """How many reads each backend ran."""
+    world = context.world
+    before = {name: len(world.backend(name=name).texts) for name in world.backendNames()}
+    for _ in range(count):
+        status, answer = statement(context=context, kind=kind, text="get k")
+        assert status == 200, answer
+    return {name: len(world.backend(name=name).texts) - before[name] for name in before}
+
+
+@then("{count:d} live reads all run at the replica in the old hall")
+def then_old(context: Any, count: int) -> None:
+    found = readWhere(context=context, kind="live", count=count)
+    assert found[context.old] == count, found
+
+
+@then("{count:d} live reads all run at the primary")
+def then_primary(context: Any, count: int) -> None:
+    found = readWhere(context=context, kind="live", count=count)
+    assert found[context.world.stall(name="stall-0").view.leads["db0"].primary] == count, found
+
+
+@then("a live read is denied with routeDenied, and a fresh read still runs")
+def then_deny(context: Any) -> None:
+    status, answer = statement(context=context, kind="live", text="get k")
+    assert (status, answer["kind"]) == (403, "routeDenied"), answer
+    assert statement(context=context, kind="fresh", text="get k")[0] == 200
+
+
+@then("no pool has room for more than {count:d} jobs")
+def then_active(context: Any, count: int) -> None:
+    for name in context.world.stallNames:
+        for pool in context.world.stall(name=name).yard.pools.values():
+            assert 0 < pool.limit <= count, (name, pool.name, pool.limit)
+
+
+@when("both replicas apply 3 seconds late and something is written")
+def when_late(context: Any) -> None:
+    for name in context.world.stall(name="stall-0").view.leads["db0"].inSync:
+        context.world.backend(name=name).applyUs = 3_000_000
+    status, answer = statement(context=context, kind="write", text="append k x")
+    assert status == 200, answer
+
+
+@then("a fresh read at once sees the session's own write")
+def then_own(context: Any) -> None:
+    assert statement(context=context, kind="fresh", text="list k")[1]["rows"] == ["x"]
+
+
+@then("a live read 1.6 seconds after it sees it too")
+def then_live(context: Any) -> None:
+    context.world.advance(forUs=1_600_000)
+    other = openSession(world=context.world)
+    assert statement(context=context, session=other, kind="live", text="list k")[1]["rows"] == ["x"]
