Seekers of a lease wait their own time, so they no longer split the vaults' grants

Ruled out: the vaults' 4 s without grants, which must stay. New trials too: all backends replaced one by one, and machines that stutter.

--- a/src/cinderstair/fairground/trials.py
+++ b/src/cinderstair/fairground/trials.py
@@ -695,6 +695,54 @@
         trial.verdict.wrong.append("the lead is not settled after the window was cancelled")
 
 
+def backendsReplaced(*, trial: Trial) -> None:
+    """All backends of a database are replaced one by one by blank ones, the primary included."""
+    world = trial.world
+    trial.fault()
+    for version, (old, new) in enumerate(zip("abc", "def", strict=True), start=2):
+        gone, comes = f"db0-{old}", f"db0-{new}"
+        world.listed["db0"] = [comes if name == gone else name for name in world.listed["db0"]]
+        trial.submit(version=version)
+        trial.go(forUs=world.luck.randrange(100_000, 2_000_000))
+        world.kill(name=gone)
+
+        def inPlace(comes: str = comes) -> bool:
+            leads = [world.stall(name=name).view.leads["db0"] for name in world.ups()]
+            return all(comes in (lead.primary, *lead.inSync) and lead.state == "settled" for lead in leads)
+
+        world.awaitThat(test=inPlace, withinUs=25_000_000, what=f"{comes} is in sync")
+        trial.go(forUs=2_000_000)
+
+
+def everythingKilled(*, trial: Trial) -> None:
+    """Every machine is killed at once, and all are started again."""
+    world = trial.world
+    for version in (2, 3):
+        trial.submit(version=version)
+    names = [name for name in world.addresses if name != "platform"]
+    for name in names:
+        world.kill(name=name)
+    world.advance(forUs=2_000_000)
+    trial.fault()
+    for name in names:
+        world.start(name=name)
+    trial.go(forUs=SETTLE_US)
+
+
+def stuttering(*, trial: Trial) -> None:
+    """A stall, the primary and a vault each run only half of the time, in fits of 300 ms."""
+    world = trial.world
+    names = (world.luck.choice(world.stallNames), trial.primary, world.luck.choice(world.vaultNames))
+    for step in range(24):
+        name = names[step % 3]
+        world.freeze(name=name)
+        trial.go(forUs=300_000)
+        world.thaw(name=name)
+        trial.go(forUs=100_000)
+    trial.fault()
+    trial.go(forUs=6_000_000)
+
+
 def laggingReplica(*, trial: Trial) -> None:
     """One replica receives at once and applies late; then the other does too."""
     world = trial.world
@@ -778,6 +826,9 @@
         hallMovedAmidCrashes,
         wholeHallHeldBack,
         moveCancelled,
+        backendsReplaced,
+        everythingKilled,
+        stuttering,
         laggingReplica,
         slowBackend,
         primaryAndReplicaLost,
@@ -803,6 +854,7 @@
 # why: what this trial looks for shows in a short span at one stall, so that stall needs enough clients
 OPTIONS: dict[str, dict[str, Any]] = {
     "overrideUnderCut": {"callers": 24},
+    "backendsReplaced": {"spares": 3},
     "kickoff": {"callers": 150, "thinkUs": 100_000, "cap": 12, "databases": 2},
 }
 
--- a/src/cinderstair/fairground/world.py
+++ b/src/cinderstair/fairground/world.py
@@ -43,6 +43,7 @@
         stallNames: list[str] | None = None,
         databaseNames: dict[str, list[str]] | None = None,
         sites: dict[str, str] | None = None,
+        spares: int = 0,
     ) -> None:
         self.seed = seed
         self.luck = random.Random(f"world/{seed}")
@@ -56,6 +57,10 @@
         self.vaultNames = [f"vault-{n}" for n in range(vaults)]
         made = {f"db{d}": [f"db{d}-{c}" for c in "abc"] for d in range(databases)}
         self.databases = databaseNames if databaseNames is not None else made
+        # why: replacements stand ready from the start, and are declared only when a trial puts them in
+        self.listed = {database: list(names) for database, names in self.databases.items()}
+        for database, names in self.databases.items():
+            names.extend(f"{database}-{letter}" for letter in "defghi"[:spares])
         self.changes = changes or {}
         self.cap = cap
         self.disks: dict[str, SimDisk] = {}
@@ -288,7 +293,7 @@
                         for name in names
                     ]
                 }
-                for database, names in self.databases.items()
+                for database, names in self.listed.items()
             },
             "stalls": {name: {"hall": "old" if name in old else "new"} for name in self.stallNames},
             **extra,
--- a/src/cinderstair/steward/leadduty.py
+++ b/src/cinderstair/steward/leadduty.py
@@ -22,7 +22,6 @@
 from .platform import Platform
 
 TICK_US = 200_000
-RENEW_US = 900_000
 # why: every view older than a write has run out this long after the write was seen, clocks' drift included
 VIEW_MARGIN_US = 300_000
 LAG_US = 1_000_000
@@ -53,7 +52,6 @@
         self.platform = platform
         self.lease = Lease(ctx=ctx, register=register, duty=LEAD_DUTY)
         self.startedUs = ctx.nowUs()
-        self.soughtUs = -RENEW_US
         self.tending: set[str] = set()
         self.passed: dict[str, deque[tuple[int, int, int]]] = {}
         self.badSinceUs: dict[str, int] = {}
@@ -66,9 +64,7 @@
         self.every(everyUs=TICK_US, command=self._tick, name="lead")
 
     async def _tick(self) -> None:
-        nowUs = self.ctx.nowUs()
-        if nowUs - self.soughtUs >= RENEW_US:
-            self.soughtUs = nowUs
+        if self.lease.due:
             held = self.lease.held
             if await self.lease.seek() and not held:
                 self.ctx.log.info("holds the duty of leads")
--- a/src/cinderstair/steward/slotduty.py
+++ b/src/cinderstair/steward/slotduty.py
@@ -42,7 +42,9 @@
         self.view.takeOwn(key=SLOTS_KEY, result=result)
 
     async def _tick(self) -> None:
-        if not await self.lease.seek() or not self.view.current:
+        if self.lease.due:
+            await self.lease.seek()
+        if not self.lease.held or not self.view.current:
             self.goneSinceUs.clear()
             return
         nowUs = self.ctx.nowUs()
--- a/src/cinderstair/steward/windowduty.py
+++ b/src/cinderstair/steward/windowduty.py
@@ -12,7 +12,6 @@
 from ..vault.register import Register
 
 TICK_US = 500_000
-RENEW_US = 1_000_000
 WINDOW_DUTY = "windows"
 
 
@@ -24,13 +23,11 @@
         self.register = register
         self.view = view
         self.lease = Lease(ctx=ctx, register=register, duty=WINDOW_DUTY)
-        self.soughtUs = -RENEW_US
         self.openQueue()
         self.every(everyUs=TICK_US, command=self._tick, name="windows")
 
     async def _tick(self) -> None:
-        if self.ctx.nowUs() - self.soughtUs >= RENEW_US:
-            self.soughtUs = self.ctx.nowUs()
+        if self.lease.due:
             await self.lease.seek()
         charter = self.view.charter
         if not self.lease.held or not self.view.current or charter is None:
--- a/src/cinderstair/vault/lease.py
+++ b/src/cinderstair/vault/lease.py
@@ -9,6 +9,8 @@
 LENGTH_US = 3_000_000
 # why: monotonic clocks may run apart a little; the holder stops well before any vault thinks it ended
 MARGIN_US = 300_000
+RENEW_US = 900_000
+SEEK_LEAST_US, SEEK_MOST_US = 100_000, 900_000
 
 
 class Lease:
@@ -19,6 +21,12 @@
         self.register = register
         self.duty = duty
         self.untilUs = 0
+        self.againUs = 0
+
+    @property
+    def due(self) -> bool:
+        """Whether it is time to renew it, or to seek it again."""
+        return self.ctx.nowUs() >= self.againUs
 
     @property
     def held(self) -> bool:
@@ -46,6 +54,9 @@
         elif not self.held:
             # why: two that each hold a minority would shut each other out until both ran out
             await self._ask(lengthUs=0)
+        # why: seekers in step would split the vaults' grants among them again and again, so each waits its own time
+        waitUs = RENEW_US if self.held else self.ctx.luck.randrange(SEEK_LEAST_US, SEEK_MOST_US)
+        self.againUs = self.ctx.nowUs() + waitUs
         return self.held
 
     async def drop(self) -> None:
