Traces in the OpenTelemetry JSON form, by its library's own types

One span a job, a line a batch, into a file; off by default. The library's general rule writes ids in base64 where the form wants hex, so they are turned. Ruled out: the SDK with its exporters, which bring threads.

--- a/src/cinderstair/counter/daemon.py
+++ b/src/cinderstair/counter/daemon.py
@@ -14,6 +14,7 @@
 from ..pitch.context import Context
 from ..pitch.fault import Fault
 from ..pitch.settings import LIVE, Settings, mayChangeLive, readSettings
+from ..pitch.traces import Sink, Traces
 from .market import Market
 
 WATCH_US = 1_000_000
@@ -33,6 +34,14 @@
 Make = Callable[[Context, Settings, Callable[[str], None]], Trader]
 
 
+def fileSink(*, path: str) -> Sink:
+    def sink(data: bytes) -> None:
+        with open(path, "ab") as file:
+            file.write(data)
+
+    return sink
+
+
 class Daemon:
     def __init__(self, *, path: str, flags: dict[str, Any], settings: Settings, make: Make) -> None:
         self.path = path
@@ -68,6 +77,8 @@
             }
         )
         ctx = market.context()
+        if self.settings.traces:
+            ctx.traces = Traces(service=self.settings.name, luck=ctx.luck, sink=fileSink(path=self.settings.traces))
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop.set)
         loop.add_signal_handler(signal.SIGINT, self.stop.set)
--- a/src/cinderstair/counter/roleverb.py
+++ b/src/cinderstair/counter/roleverb.py
@@ -23,6 +23,7 @@
     ("http", "address of the HTTP edge"),
     ("folder", "data folder"),
     ("platform", "address of the platform"),
+    ("traces", "file for traces in the OpenTelemetry JSON form (none: off)"),
     ("logLevel", "debug, info, warning or error"),
 )
 
--- a/src/cinderstair/pitch/context.py
+++ b/src/cinderstair/pitch/context.py
@@ -14,6 +14,7 @@
 from .counters import Counters
 from .disk import Disk
 from .net import Net
+from .traces import Traces
 
 
 @dataclass(kw_only=True)
@@ -29,6 +30,7 @@
     disk: Disk
     log: logging.Logger
     counters: Counters = field(default_factory=Counters)
+    traces: Traces | None = None
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
     def nowUs(self) -> int:
@@ -36,7 +38,7 @@
         return self.clock()
 
     def wallUs(self) -> int:
-        """Microseconds since 1970 by this machine's calendar clock; only move windows may ask for it."""
+        """Microseconds since 1970 by this machine's calendar clock; for move windows and traces alone."""
         return self.wall()
 
     async def rest(self, *, waitUs: int) -> None:
--- a/src/cinderstair/pitch/settings.py
+++ b/src/cinderstair/pitch/settings.py
@@ -41,6 +41,7 @@
     )
     foundingVaults = fields.Integer(load_default=5, strict=True, validate=validate.Range(min=1, max=15))
     platform = fields.String(load_default="", validate=lambda v: checkAddress(v) if v else None)
+    traces = fields.String(load_default="")
     logLevel = fields.String(load_default="info", validate=validate.OneOf(["debug", "info", "warning", "error"]))
     drainWaitUs = fields.Integer(load_default=8_000_000, strict=True, validate=validate.Range(min=0))
     queueMost = fields.Integer(load_default=200, strict=True, validate=validate.Range(min=1))
@@ -59,6 +60,7 @@
     folder: str = ""
     foundingVaults: int = 5
     platform: str = ""
+    traces: str = ""
     logLevel: str = "info"
     drainWaitUs: int = 8_000_000
     queueMost: int = 200
--- a/src/cinderstair/stall/stall.py
+++ b/src/cinderstair/stall/stall.py
@@ -143,6 +143,7 @@
             for each in self.chain:
                 response = await each.answer(job=job)
                 if response is not None:
+                    self._trace(job=job, response=response)
                     return self._parting(response=response)
             return self.deny(kind=Kind.unknownPath, why="nobody answers for this")
         except Exception as error:  # noqa: BLE001
@@ -155,6 +156,26 @@
             if job.sessionId:
                 self.askedUs = self.ctx.nowUs()
 
+    def _trace(self, *, job: Job, response: HttpResponse) -> None:
+        traces = self.ctx.traces
+        # why: beats and the platform's questions would bury the jobs
+        if traces is None or not job.sessionId:
+            return
+        tookUs = self.ctx.nowUs() - job.startUs
+        attributes: dict[str, str | int] = {
+            "cinderstair.kind": job.kind,
+            "cinderstair.site": self.ctx.site,
+            "cinderstair.database": "" if job.session is None else job.session.database,
+            "http.response.status_code": response.status,
+        }
+        traces.span(
+            name=job.verb,
+            wallUs=self.ctx.wallUs() - tookUs,
+            tookUs=tookUs,
+            attributes=attributes,
+            failed=response.status >= 500,
+        )
+
     def _parting(self, *, response: HttpResponse) -> HttpResponse:
         # why: a client told to close its connection now will not find it closed under its next job
         if not self.ready.leaving:
@@ -188,6 +209,8 @@
 
     def _tend(self) -> None:
         self._obeyWindow()
+        if self.ctx.traces is not None:
+            self.ctx.traces.flush()
         if self.view.current and self.view.slots.idOf(name=self.ctx.name) is None and not self.ready.draining:
             self.slotDuty.post(command=lambda: self.slotDuty.claim(name=self.ctx.name), once="claim")
         for session in list(self.sessions.open.values()):
@@ -208,6 +231,8 @@
         await asyncio.gather(self.leadDuty.lease.drop(), self.slotDuty.lease.drop(), self.windowDuty.lease.drop())
         await self.crowd.leave()
         self.yard.stop()
+        if self.ctx.traces is not None:
+            self.ctx.traces.flush()
 
     def resettle(self, *, settings: Settings) -> None:
         """Takes the settings that may change while the process runs."""
--- a/src/cinderstair/steward/leadduty.py
+++ b/src/cinderstair/steward/leadduty.py
@@ -240,7 +240,7 @@
             state=MOVING,
             inSync=tuple(holder for holder in holders if holder != name),
             # why: where the primary still serves the move is short and sure, and clients may wait for its end
-            planned=lead.state == CLOSING or reason == "is emptying",
+            planned=lead.state == CLOSING or reason in ("is emptying", "is no longer declared"),
         )
         await self._put(database=database, old=lead, new=new)
 
--- /dev/null
+++ b/steps/tracesteps.py
@@ -0,0 +1,53 @@
+"""Steps for traces."""
+
+import json
+import random
+import re
+from typing import Any
+
+from behave import then, when
+from stallsteps import statement
+
+from cinderstair.fairground.world import WALL_START_US
+from cinderstair.pitch.traces import Traces
+
+
+@when("stall-0 traces into a list, and {count:d} statements are sent to it")
+def when_traced(context: Any, count: int) -> None:
+    ctx = context.world.contexts["stall-0"]
+    context.lines = []
+    ctx.traces = Traces(service="stall-0", luck=random.Random(1), sink=context.lines.append)
+    context.beganUs = WALL_START_US + context.world.nowUs
+    for number in range(count):
+        text = "get k" if number else "dance"
+        statement(context=context, kind="primary", text=text)
+    context.world.advance(forUs=1_000_000)
+
+
+@then("the lines hold {count:d} spans with hex ids, the right times and the right outcome")
+def then_spans(context: Any, count: int) -> None:
+    values = [json.loads(line) for line in context.lines]
+    spans = [s for v in values for r in v["resourceSpans"] for scope in r["scopeSpans"] for s in scope["spans"]]
+    assert len(spans) == count, len(spans)
+    service = values[0]["resourceSpans"][0]["resource"]["attributes"][0]
+    assert service == {"key": "service.name", "value": {"stringValue": "stall-0"}}, service
+    for span in spans:
+        assert re.fullmatch("[0-9a-f]{32}", span["traceId"]) and re.fullmatch("[0-9a-f]{16}", span["spanId"])
+        start, end = int(span["startTimeUnixNano"]), int(span["endTimeUnixNano"])
+        assert context.beganUs * 1000 <= start < end < context.beganUs * 1000 + 10**9, (start, end)
+        assert span["name"] == "statement" and span["kind"] == 2, span
+    statuses = [
+        int(a["value"]["intValue"])
+        for span in spans
+        for a in span["attributes"]
+        if a["key"] == "http.response.status_code"
+    ]
+    assert statuses == [422] + [200] * (count - 1), statuses
+
+
+@then("without a sink nothing is kept")
+def then_off(context: Any) -> None:
+    traces = Traces(service="x", luck=random.Random(1))
+    traces.span(name="statement", wallUs=1, tookUs=1, attributes={}, failed=False)
+    assert not traces.spans
+    assert context.world.contexts["stall-1"].traces is None
