One way for the steps of an open transaction; a rollback leaves an emptied backend alone

Cause: two steps repeated the same passing, and a rollback was sent even to a backend that was to be left alone. It closes the channel there instead, which rolls back as surely.

--- /dev/null
+++ b/src/cinderstair/counter/documentmixin.py
@@ -0,0 +1,32 @@
+"""Reading documents for the verbs that need no running system."""
+
+import sys
+from pathlib import Path
+
+from ..charter.charter import Charter
+from ..charter.check import checkCharter
+
+DONE, DENIED, USAGE = 0, 1, 2
+
+
+class DocumentMixin:
+    """Gives a verb a file's bytes or a checked configuration; otherwise the words are printed already."""
+
+    def readFile(self, *, path: str) -> bytes | None:
+        try:
+            return Path(path).read_bytes()
+        except OSError as error:
+            print(f"{path}: {error.strerror}", file=sys.stderr)
+            return None
+
+    def readCharter(self, *, path: str) -> Charter | int:
+        """The configuration, or the exit code."""
+        raw = self.readFile(path=path)
+        if raw is None:
+            return USAGE
+        checked = checkCharter(raw=raw)
+        if checked.is_error():
+            for line in checked.error.details.get("errors", [checked.error.why]):
+                print(f"{path}: {line}", file=sys.stderr)
+            return DENIED
+        return checked.ok
--- a/src/cinderstair/stall/filters/passfilter.py
+++ b/src/cinderstair/stall/filters/passfilter.py
@@ -324,22 +324,25 @@
             database=transaction.database, term=transaction.term
         )
 
-    async def _inTransaction(self, *, job: Job) -> HttpResponse:
-        session = job.bound
-        transaction = session.transaction
-        assert transaction is not None
+    async def _passOpen(self, *, job: Job, transaction: Transaction, step: str) -> Result[Reply, Fault]:
+        """A step of an open transaction, over the channel that is its own."""
         if not self._holds(transaction=transaction):
-            return self._lose(session=session, why="the lead moved; nothing of the transaction was kept")
+            return Result.Error(Fault(kind=Kind.wireUnsent, why="the lead moved"))
+        leftUs = self._leftUs(job=job)
         result = await self.passTo(
-            channel=transaction.channel,
-            job=job,
-            step="in",
-            term=transaction.term,
-            waitUs=self._leftUs(job=job),
+            channel=transaction.channel, job=job, step=step, term=transaction.term, waitUs=leftUs
         )
         transaction.usedUs = self.ctx.nowUs()
         if result.is_error():
             transaction.pool.blame()
+        return result
+
+    async def _inTransaction(self, *, job: Job) -> HttpResponse:
+        session = job.bound
+        transaction = session.transaction
+        assert transaction is not None
+        result = await self._passOpen(job=job, transaction=transaction, step="in")
+        if result.is_error():
             return self._lose(session=session, why=f"{result.error.why}; nothing of the transaction was kept")
         if not result.ok.ran and (result.ok.reason in NOT_RUN or result.ok.reason == "noTransaction"):
             return self._lose(session=session, why=f"{result.ok.why}; nothing of the transaction was kept")
@@ -350,25 +353,20 @@
             return self._lose(session=session, why="the lead moved; nothing of the transaction was kept")
         return self.done(value={"rows": result.ok.rows})
 
+    def _end(self, *, session: Session, transaction: Transaction, result: Result[Reply, Fault]) -> None:
+        """The transaction is over; its channel goes on only if the backend has said so."""
+        session.transaction = None
+        transaction.pool.give(channel=transaction.channel, keep=result.is_ok() and result.ok.ran)
+
     async def _commit(self, *, job: Job) -> HttpResponse:
         session = job.bound
         transaction = session.transaction
         assert transaction is not None
-        if not self._holds(transaction=transaction):
-            return self._lose(session=session, why="the lead moved; nothing of the transaction was kept")
-        result = await self.passTo(
-            channel=transaction.channel,
-            job=job,
-            step="commit",
-            term=transaction.term,
-            waitUs=self._leftUs(job=job),
-        )
-        session.transaction = None
-        transaction.pool.give(channel=transaction.channel, keep=result.is_ok() and result.ok.ran)
+        result = await self._passOpen(job=job, transaction=transaction, step="commit")
+        self._end(session=session, transaction=transaction, result=result)
+        if result.is_error() and result.error.kind == Kind.wireUnsent:
+            return self.deny(kind=Kind.transactionLost, why=f"{result.error.why}; the commit was never sent")
         if result.is_error():
-            transaction.pool.blame()
-            if result.error.kind == Kind.wireUnsent:
-                return self.deny(kind=Kind.transactionLost, why="the commit was never sent; nothing was kept")
             return self._unknown(why=f"the answer to the commit was lost: {result.error.why}")
         if not result.ok.ran:
             return self.deny(kind=Kind.transactionLost, why=f"{result.ok.why}; nothing was kept")
@@ -378,14 +376,7 @@
         session = job.bound
         transaction = session.transaction
         assert transaction is not None
-        result = await self.passTo(
-            channel=transaction.channel,
-            job=job,
-            step="rollback",
-            term=transaction.term,
-            waitUs=min(self._leftUs(job=job), 2_000_000),
-        )
-        session.transaction = None
+        result = await self._passOpen(job=job, transaction=transaction, step="rollback")
         # why: closing the channel rolls back as surely as the word does, so a rollback is always done
-        transaction.pool.give(channel=transaction.channel, keep=result.is_ok() and result.ok.ran)
+        self._end(session=session, transaction=transaction, result=result)
         return self.done()
