Answers inside a transaction say so; the stand-in client ends what it began

Not lost: the stand-in client sent its commit to a stall that no longer had the session, took the denial for the end of its transaction, and went on inside it unawares. The client now ends it where the session is; and since a real client could make the same mistake, answers inside a transaction carry transaction: true. Ruled out: the stalls, whose every answer was true.

--- a/src/cinderstair/fairground/caller.py
+++ b/src/cinderstair/fairground/caller.py
@@ -156,6 +156,20 @@
             event = self._event(verb=kind, key=key)
             self._note(event=event, response=await self._statement(kind=kind, text=f"list {key}"))
 
+    async def _rollback(self) -> None:
+        """Ends the transaction where the session is; a client that left it open would go on inside it unawares."""
+        for _ in range(3):
+            if not self.session:
+                return
+            response = await self._send(method="POST", path=f"/v1/sessions/{self.session}/rollback", body={})
+            value = {} if response is None else response.json()
+            if value.get("kind") != "sessionElsewhere":
+                break
+            self.stall, self.channel = value["elsewhere"][0], None
+        if response is None or response.status not in (200, 409):
+            # why: a client that can't tell whether its transaction is over must not use the session again
+            self.session = ""
+
     async def _transaction(self, *, key: str) -> None:
         tokens = (self._token(), self._token())
         event = self._event(verb="transaction", key=key, tokens=tokens)
@@ -171,8 +185,7 @@
             if response is None or response.status != 200:
                 self._note(event=event, response=response)
                 event.outcome = "denied"
-                if self.session:
-                    await self._send(method="POST", path=f"{path}/rollback", body={})
+                await self._rollback()
                 return
         if self.abandons:
             # why: a client that died says nothing more, and its stall has to notice by itself
@@ -180,3 +193,6 @@
             return
         response = await self._send(method="POST", path=f"{path}/commit", body={})
         self._note(event=event, response=response)
+        # why: a commit that was sent to a stall that no longer has the session has ended nothing
+        if event.kind == "sessionElsewhere":
+            await self._rollback()
--- a/src/cinderstair/fairground/trials.py
+++ b/src/cinderstair/fairground/trials.py
@@ -587,6 +587,35 @@
     trial.go(forUs=4_000_000)
 
 
+def capHeld(*, trial: Trial) -> None:
+    """A stall goes, its slot is freed, it comes back; backends that would take any number count their channels."""
+    world = trial.world
+    for name in world.backendNames():
+        world.backend(name=name).cap = 10_000
+        world.backend(name=name).mostLines = 0
+    for name in world.stallNames:
+        world.stall(name=name).slotDuty.graceUs = 2_000_000
+    name = world.luck.choice([n for n in world.stallNames if n != trial.holder])
+    limits = {n: world.stall(name=n).yard.pools[trial.primary].limit for n in world.stallNames if n != name}
+    world.kill(name=name)
+    trial.fault()
+
+    def grown() -> bool:
+        return all(world.stall(name=n).yard.pools[trial.primary].limit > limit for n, limit in limits.items())
+
+    world.awaitThat(test=grown, withinUs=30_000_000, what="the others have the lost one's part")
+    trial.go(forUs=3_000_000)
+    world.start(name=name)
+    trial.go(forUs=8_000_000)
+    for each in world.backendNames():
+        found = world.backend(name=each).mostLines
+        trial.verdict.note(name="channels at once", valueUs=found)
+        if found > world.cap:
+            trial.verdict.wrong.append(f"{each} had {found} channels at once, cap {world.cap}")
+    if world.stall(name=name).yard.pools[trial.primary].limit == 0:
+        trial.verdict.wrong.append(f"{name} got no part of the cap back")
+
+
 def number(*, event: Event) -> int:
     return int(event.caller.partition("-")[2])
 
@@ -837,6 +866,7 @@
         holderKilledToo,
         candidateKilledToo,
         deafReplica,
+        capHeld,
         kickoff,
         sitesChanged,
         hallMoved,
@@ -872,6 +902,7 @@
 # why: what this trial looks for shows in a short span at one stall, so that stall needs enough clients
 OPTIONS: dict[str, dict[str, Any]] = {
     "overrideUnderCut": {"callers": 24},
+    "capHeld": {"callers": 60, "thinkUs": 30_000, "cap": 12, "stalls": 4},
     "backendsReplaced": {"spares": 3},
     "kickoff": {"callers": 150, "thinkUs": 100_000, "cap": 12, "databases": 2},
 }
--- a/src/cinderstair/stall/filters/passfilter.py
+++ b/src/cinderstair/stall/filters/passfilter.py
@@ -351,7 +351,8 @@
         # why: what was read inside the transaction must be as new as any other read of the primary
         if result.ok.term != transaction.term or not self._holds(transaction=transaction):
             return self._lose(session=session, why="the lead moved; nothing of the transaction was kept")
-        return self.done(value={"rows": result.ok.rows})
+        # why: a client must be able to tell that what it wrote is not kept until it commits
+        return self.done(value={"rows": result.ok.rows, "transaction": True})
 
     def _end(self, *, session: Session, transaction: Transaction, result: Result[Reply, Fault]) -> None:
         """The transaction is over; its channel goes on only if the backend has said so."""
