--- a/src/cinderstair/counter/operatorverb.py
+++ b/src/cinderstair/counter/operatorverb.py
@@ -81,13 +81,53 @@
         response = self.speak(method="GET", path="/status")
         if isinstance(response, int):
             return response
+        value = withOthers(value=response.json())
         if self.option("json"):
-            print(json.dumps(response.json(), indent=1))
+            print(json.dumps(value, indent=1))
         else:
-            print(statusText(value=response.json()))
+            print(statusText(value=value))
         return DONE
 
 
+def withOthers(*, value: dict[str, Any]) -> dict[str, Any]:
+    """Adds what every other stall says of itself, and what holds any duty's holder back."""
+    byDaemon = {value["stall"]: daemonPart(value=value)}
+    for member in value["members"]:
+        if member["role"] != "stall" or member["name"] in byDaemon or member["standing"] != "alive":
+            continue
+        result = askNow(address=member["http"], method="GET", path="/status")
+        # why: a stall that does not answer is itself a piece of the status
+        if result.is_error():
+            byDaemon[member["name"]] = {"configuration": None, "answers": False}
+            continue
+        other = result.ok.json()
+        byDaemon[member["name"]] = daemonPart(value=other)
+        value["held"] |= other["held"]
+        value["duties"] += [f"{duty} (at {member['name']})" for duty in other["duties"]]
+    return {**value, "byDaemon": byDaemon}
+
+
+def daemonPart(*, value: dict[str, Any]) -> dict[str, Any]:
+    channels = [backend["channels"] for backend in value["backends"].values()]
+    return {
+        "configuration": value["configuration"],
+        "answers": True,
+        "viewCurrent": value["viewCurrent"],
+        "sessions": value["sessions"],
+        "channelsOpened": sum(each["opened"] for each in channels),
+        "channelsClosed": sum(each["closed"] for each in channels),
+    }
+
+
+def daemonText(*, name: str, part: dict[str, Any]) -> str:
+    if not part["answers"]:
+        return f"{name}: does not answer"
+    return (
+        f"{name}: configuration {part['configuration']}, view {'current' if part['viewCurrent'] else 'NOT CURRENT'}, "
+        f"{part['sessions']} sessions, channels opened {part['channelsOpened']}, closed {part['channelsClosed']}"
+    )
+
+
 def statusText(*, value: dict[str, Any]) -> str:
     lines = [
         f"stall {value['stall']} at {value['site']}, slot {value['slot']}, "
@@ -102,6 +142,7 @@
             f"{database}: term {lead['term']} {lead['state']}, primary {lead['primary']}, "
             f"in sync {' '.join(lead['inSync']) or '-'}, joining {' '.join(lead['joining']) or '-'}"
         )
+    lines += [daemonText(name=name, part=part) for name, part in value["byDaemon"].items()]
     lines += [f"HELD {database}: {why}" for database, why in value["held"].items()]
     for name, backend in value["backends"].items():
         channels = backend["channels"]
--- a/steps/fleetsteps.py
+++ b/steps/fleetsteps.py
@@ -119,7 +119,15 @@
 @then("the status verb shows the members, the leads and the slots")
 def then_status(context: Any) -> None:
     text = context.fleet.verb("status").stdout
-    for words in ("members: ", "vault-4=alive", "slots: ", "db0: term", "settled", "in sync"):
+    for words in (
+        "members: ",
+        "vault-4=alive",
+        "slots: ",
+        "db0: term",
+        "settled",
+        "in sync",
+        "stall-2: configuration 2",
+    ):
         assert words in text, text
 
 
