--- /dev/null
+++ b/src/cinderstair/booth/__init__.py
@@ -0,0 +1,1 @@
+"""The booth: the lean front daemon whose sessions are connections."""
--- /dev/null
+++ b/src/cinderstair/booth/booth.py
@@ -0,0 +1,84 @@
+"""The booth daemon: sessions that are connections, links to the backends of its share."""
+
+from collections.abc import Callable
+
+from expression import Ok, Result
+
+from ..pitch.context import Context
+from ..pitch.fault import Fault
+from .link import Dialer
+from .relayed_view import RelayedView
+from .router import Router
+from .session import Session
+
+TEND_US = 200_000
+READY_AGE_US = 5_000_000
+CHOOSE_EVERY_US = 30_000_000
+
+
+class Booth:
+    """Wires the view, the router and the sessions together. Adapters bring the connections."""
+
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        site: str,
+        seeds: Callable[[], tuple[str, ...]],
+        dialer: Dialer,
+        distance: Callable[[str], int],
+    ) -> None:
+        self.ctx = ctx
+        self.view = RelayedView(ctx=ctx, site=site, seeds=seeds)
+        self.router = Router(ctx=ctx, view=self.view, dialer=dialer, distance=distance)
+        self.sessions: set[Session] = set()
+        self.draining = False
+        self.told_ready = False
+
+    async def start(self) -> Result[None, Fault]:
+        self.ctx.spawn(work=self._keep(), name="view.keep")
+        self.ctx.ticks(everyUs=TEND_US).subscribe(lambda _: self._tend())
+        return Ok(None)
+
+    async def _keep(self) -> None:
+        await self.view.choose()
+        await self.view.keep()
+
+    @property
+    def ready(self) -> bool:
+        """Whether new clients should come here."""
+        known = self.view.plan is not None and self.ctx.nowUs() - self.view.as_of_us < READY_AGE_US
+        return known and not self.draining
+
+    def _tend(self) -> None:
+        self.router.tend()
+        if self.ready != self.told_ready:
+            self.told_ready = self.ready
+            self.ctx.log.info("ready" if self.ready else "not ready")
+        plan = self.view.plan
+        if plan is None or not plan.rest_limit_us:
+            return
+        for session in self.sessions:
+            session.rest_too_long(limit_us=plan.rest_limit_us)
+
+    def open(self, *, database: str) -> Session:
+        session = Session(ctx=self.ctx, router=self.router, database=database)
+        self.sessions.add(session)
+        self.ctx.counters.gauge(name="sessions.open", value=len(self.sessions))
+        return session
+
+    def closed(self, *, session: Session) -> None:
+        """The client's connection has ended."""
+        self.sessions.discard(session)
+        self.ctx.counters.gauge(name="sessions.open", value=len(self.sessions))
+        session.close()
+
+    async def knows(self, *, database: str, until_us: int) -> bool:
+        """Whether the configuration in force names this database; waits for the first configuration."""
+        while self.view.plan is None and self.ctx.nowUs() < until_us:
+            await self.view.change(until_us=until_us)
+        return self.view.plan is not None and database in self.view.plan.routes
+
+    def stop(self) -> None:
+        for pool in self.router.pools.values():
+            pool.shut()
--- /dev/null
+++ b/src/cinderstair/booth/link_pool.py
@@ -0,0 +1,227 @@
+"""One booth's links to one backend."""
+
+import asyncio
+import heapq
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from ..crier.announcement import Announcement
+from ..pitch.context import Context
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from .link import Dialer, Link
+from .reply import Reply
+
+DIAL_WAIT_US = 1_000_000
+BACK_OFF_US, BACK_OFF_MOST_US = 100_000, 1_000_000
+DIALS_AT_ONCE = 2
+WAITING_PER_LINK = 16
+SILENT_US = 600_000
+OWED_US = 2_500_000
+
+
+class LinkPool:
+    """Owns the links. Whoever waits is served by rank, then in order of coming."""
+
+    def __init__(
+        self, *, ctx: Context, backend: Announcement, dialer: Dialer, on_trouble: Callable[[], None]
+    ) -> None:
+        self.ctx = ctx
+        self.backend = backend
+        self.dialer = dialer
+        self.on_trouble = on_trouble
+        self.limit = 1
+        self.closed = False
+        self.idle: list[Link] = []
+        self.taken: dict[int, tuple[Link, int]] = {}
+        self.dialing = 0
+        self.waiting: list[tuple[int, int, asyncio.Future[Link]]] = []
+        self.turn = 0
+        self.failures = 0
+        self.dial_from_us = 0
+        self.heard_us = 0
+        self.hold_us = 20_000
+        self.trouble = False
+
+    @property
+    def open(self) -> int:
+        return len(self.idle) + len(self.taken) + self.dialing
+
+    @property
+    def load(self) -> int:
+        return len(self.taken) + len(self.waiting)
+
+    def heard(self) -> None:
+        """An answer came, so the backend is there."""
+        self.heard_us = self.ctx.nowUs()
+        self.trouble = False
+        self.failures = 0
+
+    def blame(self) -> None:
+        """Something went wrong that a dead backend would explain."""
+        if not self.trouble and not self.closed:
+            self.trouble = True
+            self.ctx.counters.add(name="links.trouble")
+            self.on_trouble()
+
+    def check_silence(self) -> None:
+        """Blames a backend that owes answers for long and has given none to anybody meanwhile."""
+        now_us = self.ctx.nowUs()
+        for link, since_us in self.taken.values():
+            sent_us = max(since_us, self.heard_us)
+            if link.waiting and now_us - sent_us > SILENT_US:
+                self.blame()
+                return
+
+    def _pick(self, *, values: dict[bytes, bytes]) -> Link | None:
+        self.idle = [link for link in self.idle if link.open]
+        if not self.idle:
+            return None
+        # why: a link that holds the session's values already needs nothing sent ahead
+        best = next((i for i in reversed(range(len(self.idle))) if self.idle[i].values == values), None)
+        if best is None and values:
+            best = next((i for i in reversed(range(len(self.idle))) if not self.idle[i].values), None)
+        return self.idle.pop(-1 if best is None else best)
+
+    async def acquire(self, *, values: dict[bytes, bytes], rank: int, until_us: int) -> Result[Link, Fault]:
+        """A link for one statement or transaction; crowded at once where none can come in time."""
+        if self.closed:
+            return Error(Fault(kind=Kind.noBackend, why=f"{self.backend.name} is leaving"))
+        link = self._pick(values=values)
+        if link is not None:
+            return Ok(self._take(link=link))
+        now_us = self.ctx.nowUs()
+        ahead = sum(1 for entry in self.waiting if entry[0] <= rank and not entry[2].done())
+        # why: who can't be served in time is told so now, and not when the time is up
+        wait_us = self.hold_us * ahead // max(1, self.limit)
+        if ahead >= WAITING_PER_LINK * self.limit or now_us + wait_us >= until_us:
+            return Error(Fault(kind=Kind.crowded, why=f"{ahead} wait for {self.backend.name}"))
+        if not self.idle and not self.taken and not self.dialing and now_us < self.dial_from_us:
+            return Error(Fault(kind=Kind.noBackend, why=f"{self.backend.name} does not answer"))
+        future: asyncio.Future[Link] = asyncio.get_running_loop().create_future()
+        self.turn += 1
+        heapq.heappush(self.waiting, (rank, self.turn, future))
+        self.grow()
+        try:
+            async with asyncio.timeout(max(0, until_us - now_us) / 1_000_000):
+                return Ok(await future)
+        except TimeoutError:
+            return Error(Fault(kind=Kind.crowded, why=f"no link to {self.backend.name} in time"))
+        except ConnectionError:
+            return Error(Fault(kind=Kind.noBackend, why=f"{self.backend.name} does not answer"))
+        finally:
+            # why: a link that was handed over at the very moment of giving up must not be lost to the others
+            if not future.done():
+                future.cancel()
+            elif future.cancelled() is False and future.exception() is None and not self._is_taken(future):
+                self.release(link=future.result())
+
+    def _is_taken(self, future: asyncio.Future[Link]) -> bool:
+        return id(future.result()) in self.taken
+
+    def grow(self) -> None:
+        """Opens links for those that wait, as far as the share goes."""
+        wanted = sum(1 for entry in self.waiting if not entry[2].done()) - self.dialing
+        room = min(wanted, self.limit - self.open, DIALS_AT_ONCE - self.dialing)
+        if self.ctx.nowUs() < self.dial_from_us or self.closed:
+            return
+        for _ in range(room):
+            self.dialing += 1
+            self.ctx.spawn(work=self._dial(), name="link.dial")
+
+    def warm(self, *, count: int) -> None:
+        """Sees to it that so many links are open before anybody needs them."""
+        if self.open < min(count, self.limit) and not self.closed and self.ctx.nowUs() >= self.dial_from_us:
+            self.dialing += 1
+            self.ctx.spawn(work=self._dial(), name="link.warm")
+
+    async def _dial(self) -> None:
+        try:
+            result = await self.dialer(backend=self.backend, wait_us=DIAL_WAIT_US)
+        finally:
+            self.dialing -= 1
+        if result.is_error():
+            self.failures += 1
+            wait_us = min(BACK_OFF_MOST_US, BACK_OFF_US << min(self.failures, 5))
+            self.dial_from_us = self.ctx.nowUs() + self.ctx.luck.randrange(wait_us // 2, wait_us)
+            # why: a backend that is full is there; one that can't be reached may be gone
+            if result.error.kind != Kind.crowded:
+                self.blame()
+            if not self.taken and not self.idle and not self.dialing:
+                self._fail_waiting()
+            return
+        self.ctx.counters.add(name="links.opened")
+        link = result.ok
+        link.on_lost = lambda: self._lost(link=link)
+        self.heard()
+        if self.closed or len(self.idle) + len(self.taken) >= self.limit:
+            link.close()
+        else:
+            self._offer(link=link)
+            self.grow()
+
+    def _fail_waiting(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for _, _, future in waiting:
+            if not future.done():
+                future.set_exception(ConnectionError(self.backend.name))
+
+    def _take(self, *, link: Link) -> Link:
+        self.taken[id(link)] = (link, self.ctx.nowUs())
+        return link
+
+    def _offer(self, *, link: Link) -> None:
+        while self.waiting:
+            _, _, future = heapq.heappop(self.waiting)
+            if not future.done():
+                future.set_result(self._take(link=link))
+                return
+        self.idle.append(link)
+
+    def release(self, *, link: Link, keep: bool = True) -> None:
+        """Gives a link back; one that still owes an answer, or is lost, goes."""
+        entry = self.taken.pop(id(link), None)
+        if entry is None:
+            return
+        held_us = self.ctx.nowUs() - entry[1]
+        self.hold_us += (held_us - self.hold_us) // 8
+        if not link.open:
+            self.grow()
+            return
+        if not keep or self.closed or link.waiting or len(self.idle) + len(self.taken) >= self.limit:
+            link.close()
+            self.grow()
+            return
+        self._offer(link=link)
+
+    def release_answered(self, *, link: Link, answer: asyncio.Future[Reply]) -> None:
+        """Gives a link back once a statement that nobody waits for any more has been answered, or too late."""
+        self.ctx.spawn(work=self._release_answered(link=link, answer=answer), name="link.owed")
+
+    async def _release_answered(self, *, link: Link, answer: asyncio.Future[Reply]) -> None:
+        done, _ = await asyncio.wait([answer], timeout=OWED_US / 1_000_000)
+        # why: read, so that a link that was lost meanwhile is no error that nobody looked at
+        if done and not answer.cancelled() and answer.exception() is None:
+            self.heard()
+        self.release(link=link, keep=bool(done))
+
+    def _lost(self, *, link: Link) -> None:
+        self.idle = [each for each in self.idle if each is not link]
+        self.ctx.counters.add(name="links.lost")
+        if not self.closed:
+            self.blame()
+        if not self.taken and not self.idle and not self.dialing and self.waiting:
+            self.grow()
+
+    def shut(self) -> None:
+        """Nothing new goes to this backend; what is under way may end."""
+        self.closed = True
+        self._fail_waiting()
+        idle, self.idle = self.idle, []
+        for link in idle:
+            link.close()
+
+    def reopen(self, *, backend: Announcement) -> None:
+        self.backend = backend
+        self.closed = False
--- /dev/null
+++ b/src/cinderstair/booth/relayed_view.py
@@ -0,0 +1,197 @@
+"""What a booth knows of the register and of the backends, pulled from one guildhall at a time."""
+
+import asyncio
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+from reactivex.subject import Subject
+
+from ..charter.service_plan import PLAN_KEY, ServicePlan, read_service_plan
+from ..crier.relay_record import (
+    RelayAnswer,
+    RelayedBackend,
+    RelayedValue,
+    RelayQuestion,
+    read_relay_answer,
+)
+from ..pitch.context import Context
+from ..pitch.desks import RELAY
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.packer import Packer
+from ..steward.service_lead import PREFIX, LeadState, ServiceLead, read_service_lead
+from ..steward.slots import SLOTS_KEY, Slots, readSlots
+from ..vault.ballot import Ballot
+
+PULL_EVERY_US = 250_000
+HASTE_EVERY_US = 90_000
+PULL_WAIT_US = 450_000
+# why: no setting, since whoever moves a lead waits for all views by its own figure, so all must have the same
+LEASE_US = 1_200_000
+
+
+class RelayedView:
+    """What it says of leads counts only while it is current; the lists may be used for longer."""
+
+    def __init__(self, *, ctx: Context, site: str, seeds: Callable[[], tuple[str, ...]]) -> None:
+        self.ctx = ctx
+        self.site = site
+        self.seeds = seeds
+        self.guildhalls: tuple[str, ...] = ()
+        self.asked = ""
+        self.source = 0
+        self.edition = 0
+        self.as_of_us = -LEASE_US
+        self.ballots: dict[str, Ballot] = {}
+        self.plan: ServicePlan | None = None
+        self.slots = Slots()
+        self.leads: dict[str, ServiceLead] = {}
+        self.lead_since_us: dict[str, int] = {}
+        self.backends: dict[str, RelayedBackend] = {}
+        self.changes: Subject[str] = Subject()
+        self.troubled: Callable[[], tuple[str, ...]] = tuple
+        self._waiting: list[asyncio.Future[None]] = []
+        self._hurry = asyncio.Event()
+        self._away: dict[str, int] = {}
+
+    @property
+    def current(self) -> bool:
+        return self.ctx.nowUs() < self.as_of_us + LEASE_US
+
+    def hurry(self) -> None:
+        """Asks at once rather than at the next turn."""
+        self._hurry.set()
+
+    async def keep(self) -> None:
+        """Pulls for as long as the process runs."""
+        while True:
+            pulled = await self.pull()
+            moving = any(lead.state != LeadState.settled for lead in self.leads.values())
+            wait_us = HASTE_EVERY_US if moving or not pulled else PULL_EVERY_US
+            try:
+                async with asyncio.timeout(wait_us / 1_000_000):
+                    await self._hurry.wait()
+            except TimeoutError:
+                pass
+            self._hurry.clear()
+
+    def _order(self) -> list[str]:
+        """The one asked last, while it answers; then those that have not failed of late."""
+        addresses = list(dict.fromkeys((*self.guildhalls, *self.seeds())))
+        now_us = self.ctx.nowUs()
+        self.ctx.luck.shuffle(addresses)
+        return sorted(addresses, key=lambda a: (self._away.get(a, 0) > now_us, a != self.asked))
+
+    async def choose(self) -> None:
+        """Asks all that are known once, and stays with the one that answers first, which is the nearest."""
+        tasks = {
+            self.ctx.spawn(work=self._ask(address=address, question=self._question(whole=True))): address
+            for address in dict.fromkeys((*self.guildhalls, *self.seeds()))
+        }
+        pending = set(tasks)
+        while pending:
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                if task.result().is_ok() and task.result().ok[1].age_us < LEASE_US:
+                    self.asked = tasks[task]
+                    return
+
+    def _question(self, *, whole: bool) -> RelayQuestion:
+        return RelayQuestion(
+            booth=self.ctx.name,
+            site=self.site,
+            source=0 if whole else self.source,
+            edition=0 if whole else self.edition,
+            troubled=self.troubled(),
+        )
+
+    async def _ask(self, *, address: str, question: RelayQuestion) -> Result[tuple[int, RelayAnswer], Fault]:
+        asked_us = self.ctx.nowUs()
+        body = question.write(packer=Packer().u8(value=RELAY)).bytes()
+        result = await self.ctx.net.ask(address=address, body=body, waitUs=PULL_WAIT_US)
+        if result.is_error():
+            return Error(result.error)
+        try:
+            return Ok((asked_us, read_relay_answer(data=result.ok)))
+        except ValueError:
+            self.ctx.counters.add(name="records.malformed")
+            return Error(Fault(kind=Kind.malformed, why=f"{address}: no relayed news"))
+
+    async def pull(self) -> bool:
+        """One question to one guildhall; True where what it said is current."""
+        address = self._order()[0]
+        # why: editions are counted by each guildhall for itself, so another one is asked for everything
+        result = await self._ask(address=address, question=self._question(whole=address != self.asked))
+        if result.is_error():
+            self.ctx.counters.add(name="view.missed")
+            self._away[address] = self.ctx.nowUs() + 2_000_000
+            return False
+        asked_us, answer = result.ok
+        if answer.age_us >= LEASE_US:
+            # why: a guildhall that is cut off from the other vaults knows nothing current; another one may
+            self._away[address] = self.ctx.nowUs() + 500_000
+        self.asked = address
+        self._take(answer=answer)
+        # why: counted from our asking less the age that it had there, so it is never taken for younger than it is
+        self.as_of_us = max(self.as_of_us, asked_us - answer.age_us)
+        self._wake()
+        return self.current
+
+    def _take(self, *, answer: RelayAnswer) -> None:
+        if answer.guildhalls:
+            self.guildhalls = answer.guildhalls
+        if answer.whole:
+            named = {entry.announcement.name for entry in answer.backends}
+            for name in [name for name in self.backends if name not in named]:
+                del self.backends[name]
+        for entry in answer.backends:
+            known = self.backends.get(entry.announcement.name)
+            # why: another guildhall may not have heard yet what this one has
+            if known is None or entry.announcement.order >= known.announcement.order:
+                self.backends[entry.announcement.name] = entry
+        for value in answer.values:
+            self._take_value(entry=value)
+        self.source, self.edition = answer.source, answer.edition
+        if answer.backends:
+            self.changes.on_next("backends")
+
+    def _take_value(self, *, entry: RelayedValue) -> None:
+        known = self.ballots.get(entry.key)
+        if known is not None and known >= entry.ballot:
+            return
+        if entry.value:
+            self._apply(key=entry.key, value=entry.value)
+        self.ballots[entry.key] = entry.ballot
+        self.changes.on_next(entry.key)
+
+    def _apply(self, *, key: str, value: bytes) -> None:
+        if key == PLAN_KEY:
+            plan = read_service_plan(data=value)
+            # why: the register never goes back, and neither does anything that follows it
+            if self.plan is None or plan.version > self.plan.version:
+                self.plan = plan
+                self.ctx.log.info("configuration %d in force", plan.version)
+        elif key == SLOTS_KEY:
+            self.slots = readSlots(data=value)
+        elif key.startswith(PREFIX):
+            lead = read_service_lead(data=value)
+            service = key.removeprefix(PREFIX)
+            self.leads[service] = lead
+            self.lead_since_us[service] = self.ctx.nowUs()
+            self.ctx.log.info("%s: term %d %s %s", service, lead.term, lead.primary, lead.state.name)
+
+    def _wake(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for future in waiting:
+            if not future.done():
+                future.set_result(None)
+
+    async def change(self, *, until_us: int) -> None:
+        """Waits for the next answer of a guildhall, whatever it says, or until the moment given."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(future)
+        try:
+            async with asyncio.timeout(max(0, until_us - self.ctx.nowUs()) / 1_000_000):
+                await future
+        except TimeoutError:
+            pass
--- /dev/null
+++ b/src/cinderstair/booth/router.py
@@ -0,0 +1,236 @@
+"""Picks the backend for a statement: the primary, or a copy of the booth's share that is fresh enough."""
+
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from ..charter.service_plan import DatabaseRoute
+from ..crier.announcement import GONE
+from ..crier.beat import READY
+from ..pitch.context import Context
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.position import Position
+from ..stall.share import allotment, subset
+from ..steward.service_lead import PREFIX, LeadState, ServiceLead
+from .freshness import Freshness
+from .link import Dialer
+from .link_pool import LinkPool
+from .relayed_view import RelayedView
+from .reply import Reply
+
+# why: the source's typical subset is 20 to 100; shorter lists are taken whole
+SUBSET_SIZE = 20
+CONTROL_LINKS = 6
+AGE_MARGIN_US = 60_000
+SAMPLE_AHEAD_US = 600_000
+PRIMARY_READS = 3
+WANTED_FOR_US = 4_000_000
+LEAVE_US = 5_000_000
+MOST_ALIASES = 4_096
+
+
+class Router:
+    """Owns the pools. Everything is reckoned from the view, by this booth alone."""
+
+    def __init__(self, *, ctx: Context, view: RelayedView, dialer: Dialer, distance: Callable[[str], int]) -> None:
+        self.ctx = ctx
+        self.view = view
+        self.dialer = dialer
+        self.distance = distance
+        self.pools: dict[str, LinkPool] = {}
+        self.fresh: dict[str, Freshness] = {}
+        self.shares: dict[str, tuple[str, ...]] = {}
+        self.leaving_us: dict[str, int] = {}
+        self.aliases: dict[tuple[bytes, bool], int] = {}
+        view.troubled = self.troubled
+        view.changes.subscribe(self._changed)
+
+    def troubled(self) -> tuple[str, ...]:
+        """Backends that look dead from here."""
+        return tuple(name for name, pool in self.pools.items() if pool.trouble and not pool.closed)
+
+    def _changed(self, key: str) -> None:
+        if key.startswith(PREFIX):
+            service = key.removeprefix(PREFIX)
+            lead = self.view.leads[service]
+            if lead.state == LeadState.moving:
+                self.freshness(service=service).fence(as_of_us=-(1 << 60), position=lead.fence)
+        self.reckon()
+
+    def alias(self, *, shape: bytes, writes: bool) -> bytes:
+        """The name under which a shape is prepared on this booth's links, whatever its clients call it."""
+        number = self.aliases.setdefault((shape, writes), len(self.aliases) % MOST_ALIASES)
+        return b"p%d" % number
+
+    def freshness(self, *, service: str) -> Freshness:
+        found = self.fresh.get(service)
+        if found is None:
+            found = self.fresh[service] = Freshness()
+        return found
+
+    def reckon(self) -> None:
+        """The share, the pools and their limits, anew from the view; called only when it has changed."""
+        plan = self.view.plan
+        if plan is None:
+            return
+        names = {service: [] for service in plan.services}  # type: dict[str, list[str]]
+        for name, entry in self.view.backends.items():
+            announcement = entry.announcement
+            if announcement.service in names and announcement.state != GONE:
+                names[announcement.service].append(name)
+                pool = self.pools.get(name)
+                if pool is None:
+                    pool = LinkPool(
+                        ctx=self.ctx, backend=announcement, dialer=self.dialer, on_trouble=self.view.hurry
+                    )
+                    self.pools[name] = pool
+                pool.backend = announcement
+        for name in [name for name in self.pools if not any(name in each for each in names.values())]:
+            self.pools.pop(name).shut()
+            self.leaving_us.pop(name, None)
+        booth_id = self.view.slots.idOf(name=self.ctx.name)
+        for service, listed in names.items():
+            lead = self.view.leads.get(service)
+            copies = sorted(name for name in listed if lead is None or name != lead.primary)
+            self.shares[service] = subset(names=copies, stallId=booth_id or 0, subsetSize=SUBSET_SIZE)
+            cap = max(1, plan.services[service].link_cap - CONTROL_LINKS)
+            ids = self.view.slots.ids
+            # why: a booth that has no number yet must not take what the others were dealt
+            part = cap // (len(ids) + 1) if booth_id is None else allotment(cap=cap, userIds=ids, stallId=booth_id)
+            for name in listed:
+                self.pools[name].limit = max(1, part)
+                self._obey(name=name, leads=lead is not None and lead.primary == name)
+
+    def _obey(self, *, name: str, leads: bool) -> None:
+        """A backend that empties gets nothing new; a primary serves on until its place is taken, or late."""
+        pool = self.pools[name]
+        if pool.backend.state == READY:
+            self.leaving_us.pop(name, None)
+            if pool.closed:
+                pool.reopen(backend=pool.backend)
+            return
+        since_us = self.leaving_us.setdefault(name, self.ctx.nowUs())
+        if not pool.closed and (not leads or self.ctx.nowUs() - since_us > LEAVE_US):
+            pool.shut()
+
+    def tend(self) -> None:
+        """Now and then: links that should stand ready, silent backends, samples that will be wanted."""
+        plan = self.view.plan
+        if plan is None:
+            return
+        for name in self.leaving_us:
+            lead = self.view.leads.get(self.pools[name].backend.service)
+            self._obey(name=name, leads=lead is not None and lead.primary == name)
+        for pool in self.pools.values():
+            pool.check_silence()
+        for service in plan.services:
+            lead = self.view.leads.get(service)
+            if lead is None:
+                continue
+            primary = self.pools.get(lead.primary)
+            if primary is not None and lead.state == LeadState.settled:
+                primary.warm(count=1)
+            copies = self.copies(service=service)
+            if copies:
+                copies[0].warm(count=1)
+            self._sample(service=service, lead=lead)
+
+    def _sample(self, *, service: str, lead: ServiceLead) -> None:
+        """Asks the primary for its position where reads will want one and no statement has shown it lately."""
+        fresh = self.freshness(service=service)
+        now_us = self.ctx.nowUs()
+        if lead.state == LeadState.moving and lead.fence.term:
+            fresh.fence(as_of_us=self.view.as_of_us, position=lead.fence)
+        if now_us - fresh.wanted_us > WANTED_FOR_US or now_us - fresh.newest_us < SAMPLE_AHEAD_US:
+            return
+        if self.may_lead(service=service).is_ok():
+            self.ctx.spawn(work=self.sample(service=service), name="sample")
+
+    async def sample(self, *, service: str) -> None:
+        led = self.may_lead(service=service)
+        if led.is_error():
+            return
+        taken = await led.ok.acquire(values={}, rank=0, until_us=self.ctx.nowUs() + 400_000)
+        if taken.is_error():
+            return
+        link, asked_us = taken.ok, self.ctx.nowUs()
+        # why: a link may have been waited for, and the lead may have moved meanwhile
+        if self.may_lead(service=service).is_error():
+            led.ok.release(link=link)
+            return
+        self.ctx.counters.add(name="samples.asked")
+        try:
+            reply = await link.ask_position()
+        except ConnectionError:
+            led.ok.release(link=link)
+            return
+        led.ok.release(link=link)
+        self.heard(pool=led.ok, service=service, asked_us=asked_us, reply=reply)
+
+    def heard(self, *, pool: LinkPool, service: str, asked_us: int, reply: Reply) -> None:
+        """Every answer of the primary shows its position; it counts if it led when it was asked."""
+        pool.heard()
+        lead = self.view.leads.get(service)
+        if reply.position is None or lead is None or lead.primary != pool.backend.name:
+            return
+        # why: the view's currency at the asking was checked then; here the lead must still be the same
+        if lead.state != LeadState.moving and reply.position.term <= lead.term:
+            self.freshness(service=service).note(asked_us=asked_us, position=reply.position)
+
+    def may_lead(self, *, service: str) -> Result[LinkPool, Fault]:
+        """The primary's pool, while the view says surely that it leads."""
+        lead = self.view.leads.get(service)
+        if lead is None:
+            return Error(Fault(kind=Kind.noLead, why=f"{service}: nobody leads yet"))
+        if not self.view.current:
+            return Error(Fault(kind=Kind.notCurrent, why="out of touch with the register"))
+        if lead.state != LeadState.settled:
+            left_us = self.view.lead_since_us[service] + lead.ready_in_us - self.ctx.nowUs()
+            details = {"left_us": max(50_000, left_us)}
+            return Error(Fault(kind=Kind.moving, why=f"{service}: its lead moves", details=details))
+        pool = self.pools.get(lead.primary)
+        if pool is None or pool.closed:
+            return Error(Fault(kind=Kind.noLead, why=f"{service}: {lead.primary} is not there"))
+        return Ok(pool)
+
+    async def primary(self, *, service: str, until_us: int) -> Result[LinkPool, Fault]:
+        """The primary's pool; waits for a move only where its end is expected in time."""
+        while True:
+            led = self.may_lead(service=service)
+            if led.is_ok():
+                return led
+            now_us = self.ctx.nowUs()
+            left_us = int(led.error.details.get("left_us", 100_000))
+            if now_us + left_us >= until_us:
+                return led
+            await self.view.change(until_us=until_us)
+
+    def copies(self, *, service: str) -> list[LinkPool]:
+        """The share's copies that may be read from, nearest first, those in trouble last."""
+        pools = [self.pools[name] for name in self.shares.get(service, ()) if name in self.pools]
+        usable = [pool for pool in pools if not pool.closed and not self.view.backends[pool.backend.name].quiet]
+        return sorted(usable, key=self._cost)
+
+    def _cost(self, pool: LinkPool) -> tuple[bool, int, int]:
+        return pool.trouble, self.distance(pool.backend.site) + pool.load // 4, pool.load
+
+    def readers(self, *, service: str) -> list[LinkPool]:
+        """Where a guarded read may go, best first; the primary in its turn by nearness while it has little to do."""
+        copies = self.copies(service=service)
+        led = self.may_lead(service=service)
+        if led.is_error():
+            return copies
+        if led.ok.load < PRIMARY_READS and not led.ok.trouble:
+            return sorted([*copies, led.ok], key=self._cost)
+        # why: copies that all lag must not send a whole crowd to the primary
+        return [*copies, led.ok] if led.ok.load < 2 * led.ok.limit else copies
+
+    def guard(self, *, route: DatabaseRoute, arrived_us: int, own: Position | None) -> Result[Position, Fault]:
+        """The position that a copy must have for this read."""
+        fresh = self.freshness(service=route.service)
+        fresh.wanted_us = self.ctx.nowUs()
+        needed = fresh.needed(since_us=arrived_us - route.max_age_us + AGE_MARGIN_US)
+        if needed is None:
+            return Error(Fault(kind=Kind.tooStale, why="nobody has asked the primary lately"))
+        return Ok(needed if own is None else max(needed, own))
--- /dev/null
+++ b/src/cinderstair/booth/statement.py
@@ -0,0 +1,33 @@
+"""One statement of a session, as the product knows it."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class Verb(IntEnum):
+    begin = 0
+    begin_read = 1
+    commit = 2
+    rollback = 3
+    read = 4
+    write = 5
+    execute = 6
+    set_value = 7
+    prepare = 8
+    forget = 9
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Statement:
+    """`text` is what a backend gets, unchanged. `name` is a value's or a prepared statement's.
+
+    `content` is a value, the shape that is prepared, or what follows the name of one that is executed.
+    `writes` tells whether a shape that is prepared changes data.
+    """
+
+    ident: bytes
+    verb: Verb
+    text: bytes = b""
+    name: bytes = b""
+    content: bytes = b""
+    writes: bool = False
--- a/src/cinderstair/crier/crowd.py
+++ b/src/cinderstair/crier/crowd.py
@@ -23,8 +23,18 @@
 class Crowd(OwnerMixin):
     """Owns the table of members. Each daemon has its own; they agree in time, and nothing rests on more."""
 
-    def __init__(self, *, ctx: Context, desk: Desk, me: Member, seeds: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        desk: Desk,
+        me: Member,
+        seeds: tuple[str, ...],
+        everyUs: int = PROBE_EVERY_US,
+    ) -> None:
         self.ctx = ctx
+        # why: who asks seldom is not deaf because the last answer is some askings old
+        self.deafUs = max(DEAF_US, 4 * everyUs)
         self.me = me
         self.seeds = seeds
         self.members: dict[str, Member] = {}
@@ -34,7 +44,7 @@
         self.openQueue()
         desk.open(kind=PROBE, answer=self._probed)
         desk.open(kind=PROBE_FOR, answer=self._probedFor)
-        self.every(everyUs=PROBE_EVERY_US, command=self._tick, name="probe")
+        self.every(everyUs=everyUs, command=self._tick, name="probe")
 
     def alive(self, *, role: str = "") -> list[Member]:
         """The others that are not known to be gone; suspects count as here until they are removed."""
@@ -111,7 +121,7 @@
 
     def _sweep(self) -> None:
         nowUs = self.ctx.nowUs()
-        deaf = nowUs - self.heardUs > DEAF_US
+        deaf = nowUs - self.heardUs > self.deafUs
         for name, member in list(self.members.items()):
             ageUs = nowUs - self.sinceUs[name]
             if member.standing == Standing.suspect and deaf:
--- a/src/cinderstair/crier/news.py
+++ b/src/cinderstair/crier/news.py
@@ -1,6 +1,8 @@
 """News: what the backends last said, pulled by a vector of versions, one for each source."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any, Generic, Protocol, TypeVar
 
 from ..pitch.context import Context
 from ..pitch.desk import Desk
@@ -8,7 +10,7 @@
 from ..pitch.ownermixin import OwnerMixin
 from ..pitch.packer import Packer
 from ..pitch.unpacker import Unpacker
-from .beat import READY, Beat, readBeat
+from .beat import READY, readBeat
 from .crowd import Crowd
 
 PULL_EVERY_US = 250_000
@@ -21,26 +23,60 @@
 MOST_ENTRIES = 20_000
 
 
+class Said(Protocol):
+    """What a backend says of itself, in whatever form."""
+
+    @property
+    def name(self) -> str: ...
+
+    @property
+    def state(self) -> str: ...
+
+    @property
+    def leads(self) -> bool: ...
+
+    @property
+    def order(self) -> tuple[int, int]: ...
+
+    def write(self, *, packer: Packer) -> None: ...
+
+
+B = TypeVar("B", bound=Said)
+
+
 @dataclass(frozen=True, kw_only=True)
-class Heard:
+class Heard(Generic[B]):
     """A beat as one source heard it; `bornUs` is by the local clock, and never later than the truth."""
 
     source: int
     version: int
-    beat: Beat
+    beat: B
     bornUs: int
 
 
-class News(OwnerMixin):
-    """Owns the table of beats. Every stall that hears a beat is a source; all pull from one another."""
-
-    def __init__(self, *, ctx: Context, desk: Desk, crowd: Crowd) -> None:
+class News(OwnerMixin, Generic[B]):
+    """Owns the table of beats. Every daemon that hears a beat is a source; those of a role pull from one another."""
+
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        desk: Desk,
+        crowd: Crowd,
+        read: Callable[[Unpacker], Any] = lambda unpacker: readBeat(unpacker=unpacker),
+        role: str = "stall",
+        everyUs: int = PULL_EVERY_US,
+        quietUs: int = QUIET_US,
+    ) -> None:
         self.ctx = ctx
         self.crowd = crowd
+        self.read = read
+        self.role = role
+        self.quietUs = quietUs
         self.source = ctx.luck.getrandbits(62) | 1
         self.version = 0
-        self.heard: dict[tuple[int, str], Heard] = {}
-        self.best: dict[str, Heard] = {}
+        self.heard: dict[tuple[int, str], Heard[B]] = {}
+        self.best: dict[str, Heard[B]] = {}
         self.startedUs = ctx.nowUs()
         self.pulledUs = 0
         self.tickedUs = ctx.nowUs()
@@ -49,9 +85,9 @@
         self.alone = True
         self.openQueue()
         desk.open(kind=NEWS, answer=self._asked)
-        self.every(everyUs=PULL_EVERY_US, command=self._tick, name="pull")
+        self.every(everyUs=everyUs, command=self._tick, name="pull")
 
-    def hear(self, *, beat: Beat) -> None:
+    def hear(self, *, beat: B) -> None:
         """A beat came in at our own edge."""
         known = self.best.get(beat.name)
         # why: a beat that was held up on its way must not bring an older state back
@@ -69,7 +105,7 @@
             return self.tickedUs
         return self.stalledFromUs if nowUs < self.stalledUntilUs else nowUs
 
-    def _take(self, *, heard: Heard) -> None:
+    def _take(self, *, heard: Heard[B]) -> None:
         key = (heard.source, heard.beat.name)
         known = self.heard.get(key)
         if known is None or heard.version > known.version:
@@ -82,7 +118,7 @@
                     "backend %s is %s%s", heard.beat.name, heard.beat.state, " and leads" * heard.beat.leads
                 )
 
-    def latest(self, *, name: str) -> Heard | None:
+    def latest(self, *, name: str) -> Heard[B] | None:
         return self.best.get(name)
 
     def ageUs(self, *, name: str) -> int:
@@ -96,7 +132,7 @@
         return self.alone or self.ctx.nowUs() - self.pulledUs < HEARING_US
 
     def quiet(self, *, name: str) -> bool:
-        return self.ageUs(name=name) > QUIET_US
+        return self.ageUs(name=name) > self.quietUs
 
     def fit(self, *, name: str) -> bool:
         """Ready by its own word, and heard from lately."""
@@ -115,7 +151,7 @@
         nowUs = self.ctx.nowUs()
         lacking = [heard for heard in self.heard.values() if heard.version > vector.get(heard.source, 0)]
 
-        def each(packer: Packer, heard: Heard) -> None:
+        def each(packer: Packer, heard: Heard[B]) -> None:
             packer.u64(value=heard.source).u64(value=heard.version).u64(value=nowUs - heard.bornUs)
             heard.beat.write(packer=packer)
 
@@ -129,7 +165,7 @@
         for key, heard in list(self.heard.items()):
             if nowUs - heard.bornUs > FORGET_US:
                 del self.heard[key]
-        peers = self.crowd.alive(role="stall")
+        peers = self.crowd.alive(role=self.role)
         self.alone = not peers
         self.ctx.luck.shuffle(peers)
         for peer in peers[:PULL_FROM]:
@@ -144,7 +180,7 @@
             return
         try:
             unpacker = Unpacker(data=result.ok)
-            entries = unpacker.many(each=lambda u: (u.u64(), u.u64(), u.u64(), readBeat(unpacker=u)))
+            entries = unpacker.many(each=lambda u: (u.u64(), u.u64(), u.u64(), self.read(u)))
             unpacker.done()
         except ValueError:
             self.ctx.counters.add(name="records.malformed")
--- /dev/null
+++ b/src/cinderstair/crier/relay_record.py
@@ -0,0 +1,97 @@
+"""What a booth asks of a guildhall, and what it is told: all that changed since it last asked."""
+
+from dataclasses import dataclass
+
+from ..pitch.packer import Packer
+from ..pitch.unpacker import Unpacker
+from ..vault.ballot import Ballot, readBallot
+from .announcement import Announcement, read_announcement
+
+
+@dataclass(frozen=True, kw_only=True)
+class RelayQuestion:
+    """`source` and `edition` say what the asker has; a source of 0 asks for everything."""
+
+    booth: str
+    site: str
+    source: int = 0
+    edition: int = 0
+    troubled: tuple[str, ...] = ()
+
+    def write(self, *, packer: Packer) -> Packer:
+        packer.text(value=self.booth).text(value=self.site).u64(value=self.source).u64(value=self.edition)
+        return packer.many(values=self.troubled, each=lambda p, name: p.text(value=name))
+
+
+def read_relay_question(*, unpacker: Unpacker) -> RelayQuestion:
+    question = RelayQuestion(
+        booth=unpacker.text(),
+        site=unpacker.text(),
+        source=unpacker.u64(),
+        edition=unpacker.u64(),
+        troubled=tuple(unpacker.many(each=lambda u: u.text())),
+    )
+    unpacker.done()
+    return question
+
+
+@dataclass(frozen=True, kw_only=True)
+class RelayedValue:
+    key: str
+    ballot: Ballot
+    value: bytes
+
+
+@dataclass(frozen=True, kw_only=True)
+class RelayedBackend:
+    announcement: Announcement
+    quiet: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class RelayAnswer:
+    """`age_us` is how old the guildhall's own knowledge of the register is, by its own clock."""
+
+    source: int
+    edition: int
+    age_us: int
+    whole: bool
+    values: tuple[RelayedValue, ...] = ()
+    backends: tuple[RelayedBackend, ...] = ()
+    guildhalls: tuple[str, ...] = ()
+
+    def bytes(self) -> bytes:
+        packer = Packer().u64(value=self.source).u64(value=self.edition).u64(value=self.age_us)
+        packer.u8(value=int(self.whole))
+
+        def write_value(p: Packer, entry: RelayedValue) -> None:
+            entry.ballot.write(packer=p.text(value=entry.key))
+            p.blob(value=entry.value)
+
+        def write_backend(p: Packer, entry: RelayedBackend) -> None:
+            entry.announcement.write(packer=p)
+            p.u8(value=int(entry.quiet))
+
+        packer.many(values=self.values, each=write_value).many(values=self.backends, each=write_backend)
+        return packer.many(values=self.guildhalls, each=lambda p, a: p.text(value=a)).bytes()
+
+
+def read_relay_answer(*, data: bytes) -> RelayAnswer:
+    """Raises ValueError where the bytes are none."""
+    unpacker = Unpacker(data=data)
+    source, edition, age_us, whole = unpacker.u64(), unpacker.u64(), unpacker.u64(), bool(unpacker.u8())
+    values = unpacker.many(each=lambda u: RelayedValue(key=u.text(), ballot=readBallot(unpacker=u), value=u.blob()))
+    backends = unpacker.many(
+        each=lambda u: RelayedBackend(announcement=read_announcement(unpacker=u), quiet=bool(u.u8()))
+    )
+    guildhalls = unpacker.many(each=lambda u: u.text())
+    unpacker.done()
+    return RelayAnswer(
+        source=source,
+        edition=edition,
+        age_us=age_us,
+        whole=whole,
+        values=tuple(values),
+        backends=tuple(backends),
+        guildhalls=tuple(guildhalls),
+    )
--- /dev/null
+++ b/src/cinderstair/guildhall/guildhall.py
@@ -0,0 +1,210 @@
+"""The control daemon of a machine with a disk: a vault, and beside it what rests on the register."""
+
+import asyncio
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from ..charter.service_plan import PLAN_KEY, ServicePlan, plan_version, read_service_plan
+from ..crier.announcement import Announcement, read_announcement
+from ..crier.news import News
+from ..pitch.context import Context
+from ..pitch.desks import OPINION, SUSPECT
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.packer import Packer
+from ..pitch.settings import Settings
+from ..pitch.unpacker import Unpacker
+from ..steward.backend_control import BackendControl, Promoter
+from ..steward.promotion_duty import PROBE_WAIT_US, PromotionDuty
+from ..vault.register import Found
+from ..vault.register_view import RegisterView
+from ..vault.vault import Vault
+from .relay import Relay
+from .slot_keeper import SlotKeeper
+
+VIEW_EVERY_US = 200_000
+NEWS_EVERY_US = 400_000
+OPINION_WAIT_US = 900_000
+TELL_WAIT_US = 400_000
+TROUBLE_EVERY_US = 250_000
+SUBMIT_TRIES = 4
+
+
+class Guildhall:
+    """Hears backends and operators, answers booths, and holds duties under the register's leases."""
+
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        settings: Settings,
+        control: BackendControl,
+        promoter: Promoter,
+        halt: Callable[[str], None],
+        quiet_us: int,
+        booth_lease_us: int,
+    ) -> None:
+        self.ctx = ctx
+        self.settings = settings
+        self.control = control
+        self.promoter = promoter
+        self.vault = Vault(ctx=ctx, settings=settings, halt=halt)
+        self.quiet_us = quiet_us
+        self.booth_lease_us = booth_lease_us
+        self.troubled_us: dict[str, int] = {}
+
+    async def start(self) -> Result[None, Fault]:
+        started = await self.vault.start()
+        if started.is_error():
+            return started
+        ctx, vault = self.ctx, self.vault
+        assert vault.crowd is not None
+        self.news: News[Announcement] = News(
+            ctx=ctx,
+            desk=vault.desk,
+            crowd=vault.crowd,
+            read=lambda unpacker: read_announcement(unpacker=unpacker),
+            role="vault",
+            everyUs=NEWS_EVERY_US,
+            quietUs=self.quiet_us,
+        )
+        self.view = RegisterView(ctx=ctx, register=vault.register, everyUs=VIEW_EVERY_US, leaseUs=self.booth_lease_us)
+        self.relay = Relay(
+            ctx=ctx,
+            desk=vault.desk,
+            view=self.view,
+            news=self.news,
+            guildhalls=self._guildhalls,
+            on_trouble=self._troubled,
+            shorten=self._shorten,
+        )
+        self.duty = PromotionDuty(
+            ctx=ctx,
+            register=vault.register,
+            view=self.view,
+            news=self.news,
+            control=self.control,
+            promoter=self.promoter,
+            opinions=self._opinions,
+            lease_us=self.booth_lease_us,
+        )
+        self.slots = SlotKeeper(
+            ctx=ctx,
+            desk=vault.desk,
+            register=vault.register,
+            view=self.view,
+            relay=self.relay,
+            neighbours=self._neighbours,
+        )
+        vault.desk.open(kind=SUSPECT, answer=self._suspected)
+        vault.desk.open(kind=OPINION, answer=self._opinion)
+        return Ok(None)
+
+    def _guildhalls(self) -> tuple[str, ...]:
+        """The record addresses of all control daemons that are known to be there."""
+        crowd = self.vault.crowd
+        others = [] if crowd is None else [member.records for member in crowd.alive(role="vault")]
+        return tuple(sorted({self.settings.records, *others}))
+
+    def _neighbours(self) -> list[str]:
+        return [address for address in self._guildhalls() if address != self.settings.records]
+
+    def _shorten(self, key: str, value: bytes) -> bytes:
+        """Booths act on the compiled plan; the operator's document stays here."""
+        if key != PLAN_KEY or not value:
+            return value
+        return read_service_plan(data=value).bytes(with_document=False)
+
+    # -- backends --
+
+    def hear(self, *, announcement: Announcement) -> None:
+        """A backend's word about itself."""
+        self.news.hear(beat=announcement)
+
+    def _troubled(self, name: str, booth: str) -> None:
+        """A booth finds a backend silent; the holder of the duty is told, wherever it is."""
+        now_us = self.ctx.nowUs()
+        if now_us - self.troubled_us.get(name, -TROUBLE_EVERY_US) < TROUBLE_EVERY_US:
+            return
+        self.troubled_us[name] = now_us
+        self.ctx.log.info("%s finds %s silent", booth, name)
+        if self.duty.lease.held:
+            self.duty.suspect(name=name)
+            return
+        body = Packer().u8(value=SUSPECT).text(value=name).bytes()
+        for address in self._neighbours():
+            self.ctx.spawn(
+                work=self.ctx.parley.ask(address=address, body=body, waitUs=TELL_WAIT_US), name="suspect.tell"
+            )
+
+    async def _suspected(self, unpacker: Unpacker) -> bytes:
+        name = unpacker.text()
+        unpacker.done()
+        if self.duty.lease.held:
+            self.duty.suspect(name=name)
+        return b"\0"
+
+    async def _opinion(self, unpacker: Unpacker) -> bytes:
+        """Whether a backend can be reached from here."""
+        name = unpacker.text()
+        unpacker.done()
+        heard = self.news.latest(name=name)
+        if heard is None:
+            raise ValueError("never heard of it")
+        state = await self.control.state(backend=heard.beat, wait_us=PROBE_WAIT_US)
+        return Packer().u8(value=int(state.is_ok() or state.error.kind != Kind.wireUnsent)).bytes()
+
+    async def _opinions(self, name: str) -> tuple[int, int]:
+        """How many other control daemons reach a backend, and how many have said whether they do."""
+        body = Packer().u8(value=OPINION).text(value=name).bytes()
+        asks = [
+            self.ctx.parley.ask(address=address, body=body, waitUs=OPINION_WAIT_US) for address in self._neighbours()
+        ]
+        answers = [result.ok for result in await asyncio.gather(*asks) if result.is_ok() and result.ok]
+        return sum(answer[0] for answer in answers), len(answers)
+
+    # -- operators --
+
+    async def submit(self, *, plan: ServicePlan) -> Result[bool, Fault]:
+        """Puts a checked configuration into the register; True where it changed anything.
+
+        The highest version holds: one that is not above it is taken note of and changes nothing.
+        """
+        raw = plan.bytes()
+
+        def decide(current: bytes) -> Result[bytes, Fault]:
+            if plan.version <= plan_version(data=current) and current:
+                return Error(Fault(kind=Kind.versionOld, why="a version as high stands"))
+            return Ok(raw)
+
+        result: Result[Found, Fault] = Error(Fault(kind=Kind.registerUnreachable, why="not tried"))
+        for _ in range(SUBMIT_TRIES):
+            result = await self.vault.register.change(key=PLAN_KEY, decide=decide)
+            if result.is_ok():
+                self.view.takeOwn(key=PLAN_KEY, result=result)
+                return Ok(True)
+            # why: the same version may be put again to the same effect; one that won meanwhile answers for it
+            if result.error.kind == Kind.versionOld:
+                return Ok(False)
+            if result.error.kind != Kind.registerUnsure:
+                break
+        return Error(result.error)
+
+    async def fetch(self) -> Result[bytes, Fault]:
+        """The newest accepted configuration in its operator's own bytes."""
+        found = await self.vault.register.read(key=PLAN_KEY)
+        if found.is_error():
+            return Error(found.error)
+        if not found.ok.value:
+            return Error(Fault(kind=Kind.noConfiguration, why="no configuration has been accepted yet"))
+        return Ok(read_service_plan(data=found.ok.value).document)
+
+    async def drain(self) -> None:
+        """A planned stop: hands its duties back, then says goodbye."""
+        await asyncio.gather(self.duty.lease.drop(), self.slots.lease.drop())
+        await self.vault.drain()
+
+    def resettle(self, *, settings: Settings) -> None:
+        self.settings = settings
+        self.vault.resettle(settings=settings)
--- /dev/null
+++ b/src/cinderstair/guildhall/relay.py
@@ -0,0 +1,121 @@
+"""Answers booths: all that changed since they last asked, and how old this guildhall's knowledge is."""
+
+from collections.abc import Callable
+
+from ..crier.announcement import GONE, Announcement
+from ..crier.news import News
+from ..crier.relay_record import (
+    RelayAnswer,
+    RelayedBackend,
+    RelayedValue,
+    read_relay_question,
+)
+from ..pitch.context import Context
+from ..pitch.desk import Desk
+from ..pitch.desks import RELAY
+from ..pitch.unpacker import Unpacker
+from ..vault.register import Found
+from ..vault.register_view import RegisterView
+
+TICK_US = 100_000
+FORGET_US = 30_000_000
+Shorten = Callable[[str, bytes], bytes]
+
+
+class Relay:
+    """Numbers every change by an edition of its own. An asker that knows another relay gets everything."""
+
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        desk: Desk,
+        view: RegisterView,
+        news: News[Announcement],
+        guildhalls: Callable[[], tuple[str, ...]],
+        on_trouble: Callable[[str, str], None],
+        shorten: Shorten,
+    ) -> None:
+        self.ctx = ctx
+        self.view = view
+        self.news = news
+        self.guildhalls = guildhalls
+        self.on_trouble = on_trouble
+        self.shorten = shorten
+        self.source = ctx.luck.getrandbits(62) | 1
+        self.edition = 1
+        self.value_editions: dict[str, int] = {}
+        self.backends: dict[str, tuple[int, RelayedBackend]] = {}
+        self.booths_us: dict[str, int] = {}
+        self.told: tuple[str, ...] = ()
+        self.told_edition = 0
+        desk.open(kind=RELAY, answer=self.answer)
+        view.changes.subscribe(self._value_changed)
+        ctx.ticks(everyUs=TICK_US).subscribe(lambda _: self.look())
+
+    def _value_changed(self, key: str) -> None:
+        self.edition += 1
+        self.value_editions[key] = self.edition
+
+    def look(self) -> None:
+        """Takes from the news what booths have to know; a beat that says nothing new is none of it."""
+        now_us = self.ctx.nowUs()
+        for name, heard in list(self.news.best.items()):
+            beat = heard.beat
+            if beat.state == GONE and now_us - heard.bornUs > FORGET_US:
+                continue
+            quiet = self.news.quiet(name=name)
+            known = self.backends.get(name)
+            if known is not None and known[1].quiet == quiet and same(known[1].announcement, beat):
+                continue
+            self.edition += 1
+            self.backends[name] = (self.edition, RelayedBackend(announcement=beat, quiet=quiet))
+        for name, (_, entry) in list(self.backends.items()):
+            if entry.announcement.state == GONE and self.news.ageUs(name=name) > FORGET_US:
+                del self.backends[name]
+        if self.guildhalls() != self.told:
+            self.edition += 1
+            self.told, self.told_edition = self.guildhalls(), self.edition
+
+    async def answer(self, unpacker: Unpacker) -> bytes:
+        question = read_relay_question(unpacker=unpacker)
+        self.booths_us[question.booth] = self.ctx.nowUs()
+        for name in question.troubled:
+            self.on_trouble(name, question.booth)
+        whole = question.source != self.source or question.edition > self.edition
+        since = 0 if whole else question.edition
+        values = tuple(
+            self._value(key=key, found=found)
+            for key, found in self.view.known.items()
+            if whole or self.value_editions.get(key, 0) > since
+        )
+        backends = tuple(entry for edition, entry in self.backends.values() if edition > since)
+        self.ctx.counters.add(name="relay.whole" if whole else "relay.changes")
+        return RelayAnswer(
+            source=self.source,
+            edition=self.edition,
+            age_us=max(0, self.ctx.nowUs() - self.view.asOfUs),
+            whole=whole,
+            values=values,
+            backends=backends,
+            guildhalls=self.told if whole or self.told_edition > since else (),
+        ).bytes()
+
+    def _value(self, *, key: str, found: Found) -> RelayedValue:
+        return RelayedValue(key=key, ballot=found.ballot, value=self.shorten(key, found.value))
+
+    def seen(self, *, within_us: int) -> dict[str, int]:
+        """The booths that asked lately, each with how long ago."""
+        now_us = self.ctx.nowUs()
+        self.booths_us = {name: us for name, us in self.booths_us.items() if now_us - us < 60_000_000}
+        return {name: now_us - us for name, us in self.booths_us.items() if now_us - us <= within_us}
+
+
+def same(one: Announcement, other: Announcement) -> bool:
+    """Whether two announcements say the same of everything that booths act on."""
+    return (one.state, one.leads, one.address, one.service) == (
+        other.state,
+        other.leads,
+        other.address,
+        other.service,
+    )
--- a/src/cinderstair/pitch/answers.py
+++ b/src/cinderstair/pitch/answers.py
@@ -44,6 +44,8 @@
         Kind.noTransaction: Answer(409, DENIED, 0),
         Kind.inTransaction: Answer(409, DENIED, 0),
         Kind.transactionLost: Answer(409, DENIED, 100_000),
+        Kind.transactionFailed: Answer(409, DENIED, 0),
+        Kind.backendFault: Answer(502, UNKNOWN, 0),
         Kind.statementDenied: Answer(422, DENIED, 0),
         Kind.outcomeUnknown: Answer(504, UNKNOWN, 1_000_000),
         Kind.routeDenied: Answer(403, DENIED, 0),
--- a/src/cinderstair/pitch/context.py
+++ b/src/cinderstair/pitch/context.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import reactivex
 from reactivex.scheduler.eventloop import AsyncIOScheduler
@@ -16,7 +16,10 @@
 from .net import Net
 from .parley import Parley
 from .speech import SPEECH, Speech
-from .traces import Traces
+
+if TYPE_CHECKING:
+    # why: most daemons write no traces and must not load the library for them
+    from .traces import Traces
 
 
 @dataclass(kw_only=True)
@@ -32,7 +35,7 @@
     disk: Disk
     log: logging.Logger
     counters: Counters = field(default_factory=Counters)
-    traces: Traces | None = None
+    traces: "Traces | None" = None
     speech: Speech = SPEECH
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
--- a/src/cinderstair/pitch/kind.py
+++ b/src/cinderstair/pitch/kind.py
@@ -31,6 +31,8 @@
     noTransaction = "noTransaction"
     inTransaction = "inTransaction"
     transactionLost = "transactionLost"
+    transactionFailed = "transactionFailed"
+    backendFault = "backendFault"
     statementDenied = "statementDenied"
     outcomeUnknown = "outcomeUnknown"
     routeDenied = "routeDenied"
--- /dev/null
+++ b/src/cinderstair/pitch/lean_net.py
@@ -0,0 +1,33 @@
+"""The network of a lean daemon: records alone. Its edges are its adapters' own."""
+
+from expression import Result
+
+from .counters import Counters
+from .fault import Fault
+from .net import Channel, HttpAnswer, RecordAnswer
+from .recordwire import RecordWire
+
+
+class LeanNet:
+    """A Net without HTTP, so that neither of its libraries is loaded."""
+
+    def __init__(self, *, counters: Counters) -> None:
+        self.wire = RecordWire(counters=counters)
+
+    async def ask(self, *, address: str, body: bytes, waitUs: int) -> Result[bytes, Fault]:
+        return await self.wire.ask(address=address, body=body, waitUs=waitUs)
+
+    async def listen(self, *, address: str, answer: RecordAnswer) -> None:
+        await self.wire.listen(address=address, answer=answer)
+
+    async def dial(self, *, address: str, waitUs: int) -> Result[Channel, Fault]:
+        raise NotImplementedError("a lean daemon has no HTTP channels")
+
+    async def serve(self, *, address: str, answer: HttpAnswer) -> None:
+        raise NotImplementedError("a lean daemon has no HTTP edge of its own")
+
+    async def refuse(self) -> None:
+        """There is nothing to refuse."""
+
+    async def close(self) -> None:
+        await self.wire.close()
--- a/src/cinderstair/pitch/settings.py
+++ b/src/cinderstair/pitch/settings.py
@@ -1,6 +1,5 @@
 """A process's place, from a checked settings file and flags."""
 
-import re
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -10,20 +9,17 @@
 from marshmallow import Schema, ValidationError, fields, validate
 
 from .fault import Fault
+from .file_place import address_trouble, line_of
 from .kind import Kind
 
-# why: nodes are told apart by IP numbers, and a name that must be looked up is one more thing that fails
-ADDRESS = re.compile(r"^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$")
 NAME = validate.Regexp(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$", error="not a name (letters, digits, . _ -)")
 LIVE = ("logLevel", "drainWaitUs", "queueMost", "idleTransactionUs", "idleSessionUs")
 
 
 def checkAddress(value: str) -> None:
-    match = ADDRESS.match(value)
-    if match is None or any(int(part) > 255 for part in match.groups()[:4]):
-        raise ValidationError(f"'{value}' is not an address such as 127.0.0.1:7101")
-    if not 0 < int(match.group(5)) < 65536:
-        raise ValidationError(f"'{value}' has no port between 1 and 65535")
+    trouble = address_trouble(value=value)
+    if trouble:
+        raise ValidationError(trouble)
 
 
 class SettingsSchema(Schema):
@@ -47,11 +43,18 @@
     queueMost = fields.Integer(load_default=200, strict=True, validate=validate.Range(min=1))
     idleTransactionUs = fields.Integer(load_default=10_000_000, strict=True, validate=validate.Range(min=1))
     idleSessionUs = fields.Integer(load_default=86_400_000_000, strict=True, validate=validate.Range(min=1_000_000))
+    mostVaults = fields.Integer(load_default=0, strict=True, validate=validate.Range(min=0, max=15))
+    mayFound = fields.Boolean(load_default=True)
+    probeEveryUs = fields.Integer(load_default=300_000, strict=True, validate=validate.Range(min=50_000))
 
 
 @dataclass(frozen=True, kw_only=True)
 class Settings:
-    """What a process was told when it started, and what it may be told again while it runs."""
+    """What a process was told when it started, and what it may be told again while it runs.
+
+    mostVaults: how many may vote in the end (0: as many as found the system). mayFound: whether a blank disk may
+    take part in founding; a machine that has lost its disk may not.
+    """
 
     name: str
     site: str
@@ -67,20 +70,15 @@
     queueMost: int = 200
     idleTransactionUs: int = 10_000_000
     idleSessionUs: int = 86_400_000_000
+    mostVaults: int = 0
+    mayFound: bool = True
+    probeEveryUs: int = 300_000
 
 
 def badSettings(*, where: str, why: str) -> Result[Settings, Fault]:
     return Error(Fault(kind=Kind.badSettings, why=f"{where}: {why}"))
 
 
-def lineOf(*, text: str, key: str) -> int:
-    """The line on which a key stands; 0 where it doesn't."""
-    for number, line in enumerate(text.splitlines(), start=1):
-        if re.match(rf"\s*\"?{re.escape(key)}\"?\s*=", line):
-            return number
-    return 0
-
-
 def checkSettings(*, values: dict[str, Any], text: str, where: str) -> Result[Settings, Fault]:
     try:
         loaded = SettingsSchema().load(values)
@@ -88,7 +86,7 @@
         key, reason = next(iter(error.normalized_messages().items()))
         while isinstance(reason, dict):
             reason = next(iter(reason.values()))
-        line = lineOf(text=text, key=key)
+        line = line_of(text=text, key=key)
         place = f"{where}:{line}" if line else where
         return badSettings(where=place, why=f"{key}: {reason[0]}")
     return Ok(Settings(**{**loaded, "seeds": tuple(loaded["seeds"])}))
--- a/src/cinderstair/stall/stall.py
+++ b/src/cinderstair/stall/stall.py
@@ -7,6 +7,7 @@
 from expression import Ok, Result
 
 from ..charter.chancery import Chancery
+from ..crier.beat import Beat
 from ..crier.crowd import Crowd
 from ..crier.member import Member, Standing
 from ..crier.news import News
@@ -71,7 +72,7 @@
             incarnation=1,
         )
         self.crowd = Crowd(ctx=ctx, desk=self.desk, me=me, seeds=settings.seeds)
-        self.news = News(ctx=ctx, desk=self.desk, crowd=self.crowd)
+        self.news: News[Beat] = News(ctx=ctx, desk=self.desk, crowd=self.crowd)
         self.view = View(ctx=ctx, register=self.register)
         self.yard = Yard(ctx=ctx, view=self.view, news=self.news, queueMost=settings.queueMost)
         self.doubts = Doubts(ctx=ctx, yard=self.yard)
--- a/src/cinderstair/stall/view.py
+++ b/src/cinderstair/stall/view.py
@@ -1,9 +1,4 @@
-"""A stall's view of the register: pulled by version, and current for a bounded time."""
-
-from typing import Any
-
-from expression import Result
-from reactivex.subject import Subject
+"""A stall's view of the register: the configuration, the slots, the windows and the leads."""
 
 from ..almanac.leaving import Leaving, leaving
 from ..almanac.windowstates import WINDOWS_KEY, WindowStates, readWindowStates
@@ -11,29 +6,18 @@
 from ..charter.charter import Charter
 from ..charter.check import checkCharter
 from ..pitch.context import Context
-from ..pitch.fault import Fault
-from ..pitch.ownermixin import OwnerMixin
 from ..steward.lead import Lead, readLead
 from ..steward.slots import SLOTS_KEY, Slots, readSlots
-from ..vault.acceptor import ROSTER_KEY
-from ..vault.ballot import BLANK
-from ..vault.register import Found, Register
-from ..vault.roster import readRoster
+from ..vault.register import Register
+from ..vault.register_view import LEASE_US, RegisterView
 
-PULL_EVERY_US = 200_000
-# why: no setting, since whoever moves a lead waits for all views by its own figure, so all must have the same
-LEASE_US = 2_000_000
+__all__ = ["LEASE_US", "View"]
 
 
-class View(OwnerMixin):
+class View(RegisterView):
     """Owns what the stall knows of the register. What it says counts only while it is current."""
 
     def __init__(self, *, ctx: Context, register: Register) -> None:
-        self.ctx = ctx
-        self.register = register
-        self.leaseUs = LEASE_US
-        self.asOfUs = -LEASE_US
-        self.known: dict[str, Found] = {}
         self.charter: Charter | None = None
         self.slots = Slots()
         self.windowStates = WindowStates()
@@ -41,50 +25,7 @@
         self.leads: dict[str, Lead] = {}
         self.leadSinceUs: dict[str, int] = {}
         self.plannedSinceUs: dict[str, int] = {}
-        self.changes: Subject[str] = Subject()
-        self.openQueue()
-        self.every(everyUs=PULL_EVERY_US, command=self.pull, name="view")
-
-    @property
-    def current(self) -> bool:
-        return self.ctx.nowUs() < self.asOfUs + self.leaseUs
-
-    async def pull(self) -> bool:
-        """One round: the vector from a majority, then every value that it says we lack."""
-        startUs = self.ctx.nowUs()
-        highest = await self.register.vector()
-        if highest.is_error():
-            self.ctx.counters.add(name="view.missed")
-            return False
-        for key, ballot in highest.ok.items():
-            known = self.known.get(key)
-            if known is not None and known.ballot >= ballot:
-                continue
-            found = await self.register.read(key=key)
-            if found.is_error() or not self._take(key=key, found=found.ok):
-                return False
-        # why: counted from the round's start, since anything may have been written the moment after it
-        self.asOfUs = max(self.asOfUs, startUs)
-        self.ctx.counters.add(name="view.pulls")
-        return True
-
-    def takeOwn(self, *, key: str, result: Result[Found, Fault]) -> None:
-        """What we have ourselves written is known without another read."""
-        if result.is_ok():
-            self._take(key=key, found=result.ok)
-
-    def _take(self, *, key: str, found: Found) -> bool:
-        known = self.known.get(key)
-        if known is not None and known.ballot >= found.ballot:
-            return True
-        changed = known is None or known.value != found.value
-        # why: a value rewritten under a later ballot is no change, and must not restart any waiting
-        if changed and found.value and not self._apply(key=key, value=found.value):
-            return False
-        self.known[key] = found
-        if changed:
-            self.changes.on_next(key)
-        return True
+        super().__init__(ctx=ctx, register=register)
 
     def _apply(self, *, key: str, value: bytes) -> bool:
         if key == CHARTER_KEY:
@@ -95,12 +36,6 @@
             self.windowStates = readWindowStates(data=value)
             self.ctx.log.info("windows: %s", ", ".join(f"{n} {s.name}" for n, _, _, s in self.windowStates.stages))
             self._reckon()
-        elif key == ROSTER_KEY:
-            roster = readRoster(data=value)
-            # why: whoever changed the roster may have died before telling the vaults
-            if self.register.roster is None or roster.epoch > self.register.roster.epoch:
-                self.register.learnRoster(roster=roster)
-                self.ctx.spawn(work=self.register.tellAll(roster=roster), name="tell.roster")
         elif key.startswith("lead/"):
             database = key.removeprefix("lead/")
             before, lead = self.leads.get(database), readLead(data=value)
@@ -108,6 +43,8 @@
                 self.plannedSinceUs[database] = self.ctx.nowUs()
             self.leads[database] = lead
             self.leadSinceUs[database] = self.ctx.nowUs()
+        else:
+            return super()._apply(key=key, value=value)
         return True
 
     def _applyCharter(self, *, raw: bytes) -> bool:
@@ -130,7 +67,3 @@
 
     def lead(self, *, database: str) -> Lead | None:
         return self.leads.get(database)
-
-    def ballotOf(self, *, key: str) -> Any:
-        known = self.known.get(key)
-        return BLANK if known is None else known.ballot
--- /dev/null
+++ b/src/cinderstair/steward/backend_control.py
@@ -0,0 +1,42 @@
+"""What the holder of a duty may ask of backends and of whoever promotes them."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from expression import Result
+
+from ..crier.announcement import Announcement
+from ..pitch.fault import Fault
+from ..pitch.position import Position
+
+
+@dataclass(frozen=True, kw_only=True)
+class BackendState:
+    """`term_held` is the highest term that the backend has promised to take nothing below."""
+
+    leads: bool
+    term: int
+    received: Position
+    term_held: int
+
+
+class BackendControl(Protocol):
+    """Errors: wireUnsent where the backend can't be reached at all, wireUnsure where it is reached and silent."""
+
+    async def state(self, *, backend: Announcement, wait_us: int) -> Result[BackendState, Fault]: ...
+
+    async def pause(self, *, backend: Announcement, term: int, wait_us: int) -> Result[BackendState, Fault]:
+        """Keeps a copy from receiving anything below this term."""
+        ...
+
+    async def resume(self, *, backend: Announcement, wait_us: int) -> Result[BackendState, Fault]: ...
+
+    async def step_down(self, *, backend: Announcement, term: int, wait_us: int) -> Result[BackendState, Fault]:
+        """Turns a primary of a lower term into a copy."""
+        ...
+
+
+class Promoter(Protocol):
+    async def promote(self, *, service: str, backend: str, fence_number: int) -> Result[None, Fault]:
+        """Has the backend lead. noBackend: it is not running; any other error may be tried again."""
+        ...
--- /dev/null
+++ b/src/cinderstair/steward/promotion_duty.py
@@ -0,0 +1,367 @@
+"""The duty of keeping a primary for every service whose backends confirm commits themselves."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+from expression import Error, Ok, Result
+
+from ..charter.service_plan import PLAN_KEY, Service, ServicePlan, read_service_plan
+from ..crier.announcement import GONE, Announcement
+from ..crier.beat import READY
+from ..crier.news import News
+from ..pitch.context import Context
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.ownermixin import OwnerMixin
+from ..pitch.position import Position
+from ..vault.lease import Lease
+from ..vault.register import Found, Register
+from ..vault.register_view import RegisterView
+from .backend_control import BackendControl, BackendState, Promoter
+from .service_lead import PREFIX, LeadState, ServiceLead, read_service_lead, service_lead_key
+
+TICK_US = 100_000
+PROMOTION_DUTY = "promotion"
+FENCE_KEY = "promotion.fence"
+PROBE_WAIT_US = 400_000
+PAUSE_WAIT_US = 500_000
+CLOSING_US = 300_000
+POLL_US = 80_000
+PROMOTE_AGAIN_US = 500_000
+GIVE_UP_US = 5_000_000
+RETRY_US = 250_000
+FORGET_US = 25_000_000
+EXPECTED_US = 1_400_000
+Opinions = Callable[[str], Awaitable[tuple[int, int]]]
+
+
+class PromotionDuty(OwnerMixin):
+    """Every step is a compare-and-set on the service's lead, so two holders at once do no harm.
+
+    Before another backend is placed so many copies are paused that the old primary can have no further commit
+    confirmed; the furthest of them holds every commit that ever was acknowledged.
+    """
+
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        register: Register,
+        view: RegisterView,
+        news: News[Announcement],
+        control: BackendControl,
+        promoter: Promoter,
+        opinions: Opinions,
+        lease_us: int,
+    ) -> None:
+        self.ctx = ctx
+        self.register = register
+        self.view = view
+        self.news = news
+        self.control = control
+        self.promoter = promoter
+        self.opinions = opinions
+        # why: every booth's view that is older than a write has run out this long after the write
+        self.outwait_us = lease_us + lease_us // 10
+        self.lease = Lease(ctx=ctx, register=register, duty=PROMOTION_DUTY, seekers=lambda: 3)
+        self.plan: ServicePlan | None = None
+        self.leads: dict[str, ServiceLead] = {}
+        self.lead_since_us: dict[str, int] = {}
+        self.tending: set[str] = set()
+        self.suspects_us: dict[str, int] = {}
+        self.not_before_us: dict[str, int] = {}
+        self.reasons: dict[str, str] = {}
+        self.fenced: set[str] = set()
+        self.move_us = EXPECTED_US
+        self.fence_number = 0
+        view.changes.subscribe(self._changed)
+        self.openQueue()
+        self.every(everyUs=TICK_US, command=self._tick, name="promotion")
+
+    def _changed(self, key: str) -> None:
+        found = self.view.known.get(key)
+        if found is None or not found.value:
+            return
+        if key == PLAN_KEY:
+            self.plan = read_service_plan(data=found.value)
+        elif key.startswith(PREFIX):
+            service = key.removeprefix(PREFIX)
+            self.leads[service] = read_service_lead(data=found.value)
+            self.lead_since_us[service] = self.ctx.nowUs()
+
+    def suspect(self, *, name: str) -> None:
+        """Somebody found a backend silent or gone; whoever holds the duty looks for itself."""
+        self.suspects_us.setdefault(name, self.ctx.nowUs())
+        self.post(command=self._tick, once="promotion")
+
+    async def _tick(self) -> None:
+        if self.lease.due:
+            held = self.lease.held
+            if await self.lease.seek() and not held:
+                self.ctx.log.info("holds the duty of promotions")
+                # why: whoever held it before may have died in the middle of a move, with copies paused
+                self.fenced = set(self.leads)
+                self.fence_number = 0
+        if not self.lease.held or not self.view.current or self.plan is None:
+            return
+        if not self.fence_number and not await self._take_fence():
+            return
+        for service in self.plan.services.values():
+            if service.name not in self.tending:
+                self.tending.add(service.name)
+                self.ctx.spawn(work=self._tend(service=service), name=f"tend.{service.name}")
+
+    async def _take_fence(self) -> bool:
+        """A number above that of every holder before this one."""
+
+        def decide(data: bytes) -> Result[bytes, Fault]:
+            return Ok((int.from_bytes(data, "big") + 1).to_bytes(8, "big"))
+
+        result = await self.register.change(key=FENCE_KEY, decide=decide)
+        if result.is_ok():
+            self.fence_number = int.from_bytes(result.ok.value, "big")
+        return result.is_ok()
+
+    async def _unfence(self, *, service: str, lead: ServiceLead) -> None:
+        """Has copies receive again that a move which did not come to be may have left paused."""
+        # why: a move whose write was cut short could still come to be; this write shuts it out for good
+        if not await self._put(service=service, old=lead, new=lead):
+            return
+        for each in self._members(service=service):
+            if each.name != lead.primary:
+                await self.control.resume(backend=each, wait_us=PAUSE_WAIT_US)
+        self.fenced.discard(service)
+
+    def _members(self, *, service: str) -> list[Announcement]:
+        """Every backend of a service that may hold acknowledged commits, in the order of names."""
+        return [
+            heard.beat
+            for name, heard in sorted(self.news.best.items())
+            if heard.beat.service == service and heard.beat.state != GONE and self.news.ageUs(name=name) < FORGET_US
+        ]
+
+    def _member(self, *, name: str) -> Announcement | None:
+        heard = self.news.latest(name=name)
+        return None if heard is None else heard.beat
+
+    def _say(self, *, service: str, reason: str) -> None:
+        if self.reasons.get(service) != reason:
+            self.reasons[service] = reason
+            if reason:
+                self.ctx.log.warning("%s: %s", service, reason)
+
+    async def _tend(self, *, service: Service) -> None:
+        try:
+            if self.ctx.nowUs() < self.not_before_us.get(service.name, 0):
+                return
+            lead = self.leads.get(service.name)
+            if lead is None:
+                await self._first(service=service)
+            elif lead.state == LeadState.moving:
+                await self._finish(service=service, lead=lead)
+            elif reason := await self._must_move(service=service, lead=lead):
+                await self._move(service=service, lead=lead, reason=reason)
+            elif service.name in self.fenced:
+                await self._unfence(service=service.name, lead=lead)
+            elif lead.state == LeadState.closing:
+                await self._put(service=service.name, old=lead, new=replace(lead, state=LeadState.settled))
+        finally:
+            self.tending.discard(service.name)
+
+    async def _put(self, *, service: str, old: ServiceLead | None, new: ServiceLead) -> bool:
+        """The one way in which a lead changes: from exactly what this holder saw, while it holds the lease."""
+        if not self.lease.held:
+            return False
+        before = b"" if old is None else old.bytes()
+
+        def decide(current: bytes) -> Result[bytes, Fault]:
+            if current != before and current != new.bytes():
+                return Error(Fault(kind=Kind.versionTaken, why="the lead changed meanwhile"))
+            return Ok(new.bytes())
+
+        key = service_lead_key(service=service)
+        result: Result[Found, Fault] = await self.register.change(key=key, decide=decide)
+        if result.is_ok():
+            self.ctx.log.info("%s: term %d %s %s", service, new.term, new.state.name, new.primary)
+            self.view.takeOwn(key=key, result=result)
+        return result.is_ok()
+
+    async def _states(self, *, members: list[Announcement]) -> dict[str, BackendState]:
+        asks = [self.control.state(backend=each, wait_us=PROBE_WAIT_US) for each in members]
+        results = await asyncio.gather(*asks)
+        return {m.name: r.ok for m, r in zip(members, results, strict=True) if r.is_ok()}
+
+    async def _first(self, *, service: Service) -> None:
+        """Nobody was ever written down: whoever leads by its own account is taken at its word."""
+        claimants = [each for each in self._members(service=service.name) if each.leads and each.state == READY]
+        states = await self._states(members=claimants)
+        leading = {name: state for name, state in states.items() if state.leads}
+        if not leading:
+            self._say(service=service.name, reason="no backend says that it leads")
+            self.not_before_us[service.name] = self.ctx.nowUs() + RETRY_US
+            return
+        name = max(leading, key=lambda each: leading[each].term)
+        lead = ServiceLead(term=leading[name].term, primary=name, state=LeadState.settled)
+        await self._put(service=service.name, old=None, new=lead)
+
+    async def _must_move(self, *, service: Service, lead: ServiceLead) -> str:
+        """Why the lead can't stay; empty where it can."""
+        name = lead.primary
+        member = self._member(name=name)
+        if member is None:
+            # why: one that was never heard of since this daemon began may still be about to beat
+            if self.ctx.nowUs() - self.lead_since_us[service.name] < self.news.quietUs * 2:
+                return ""
+            return "is not known"
+        if member.state == GONE:
+            return "is gone"
+        if member.state != READY:
+            return "is emptying"
+        quiet = self.news.quiet(name=name) and self.news.hearing
+        demoted = not member.leads and not quiet
+        if not quiet and not demoted and name not in self.suspects_us:
+            return ""
+        reason = await self._examine(member=member, quiet=quiet)
+        self.suspects_us.pop(name, None)
+        return reason
+
+    async def _examine(self, *, member: Announcement, quiet: bool) -> str:
+        own, (reached, asked) = await asyncio.gather(
+            self.control.state(backend=member, wait_us=PROBE_WAIT_US), self.opinions(member.name)
+        )
+        self.ctx.counters.add(name="promotion.examined")
+        if own.is_ok():
+            return "" if own.ok.leads else "does not lead"
+        # why: silent is not dead; one that takes connections is waited for until its beats are missed too
+        if own.error.kind != Kind.wireUnsent and not quiet:
+            return ""
+        # why: whether a primary is gone is judged by what most see, since the holder may be the one that is cut off
+        if 2 * (asked - reached + 1) <= asked + 1:
+            return ""
+        return "is gone" if own.error.kind == Kind.wireUnsent else "is silent"
+
+    async def _move(self, *, service: Service, lead: ServiceLead, reason: str) -> None:
+        members = self._members(service=service.name)
+        others = [each for each in members if each.name != lead.primary]
+        planned = reason == "is emptying"
+        if not any(each.state == READY for each in others):
+            self._say(service=service.name, reason=f"{lead.primary} {reason}, and no copy can take its place")
+            self.not_before_us[service.name] = self.ctx.nowUs() + RETRY_US
+            return
+        self._say(service=service.name, reason=f"{lead.primary} {reason}")
+        if planned and lead.state == LeadState.settled:
+            closing = replace(lead, state=LeadState.closing, ready_in_us=self.move_us, planned=True)
+            if not await self._put(service=service.name, old=lead, new=closing):
+                return
+            lead = closing
+            # why: what the primary was given already may end, and nothing more comes once the word is out
+            await self.ctx.rest(waitUs=CLOSING_US)
+        began_us = self.ctx.nowUs()
+        fenced = await self._fence(service=service, lead=lead, others=others)
+        if fenced is None:
+            self.not_before_us[service.name] = self.ctx.nowUs() + RETRY_US
+            return
+        term, states = fenced
+        ready = {each.name for each in others if each.state == READY}
+        best = max(sorted(states), key=lambda name: (states[name].received, name in ready))
+        moving = ServiceLead(
+            term=term,
+            primary=best,
+            state=LeadState.moving,
+            fence=states[best].received,
+            ready_in_us=max(self.move_us, self.outwait_us) - (self.ctx.nowUs() - began_us),
+            planned=planned,
+        )
+        if await self._put(service=service.name, old=lead, new=moving):
+            self.ctx.counters.add(name="promotion.moves")
+            await self._finish(service=service, lead=moving)
+
+    async def _fence(
+        self, *, service: Service, lead: ServiceLead, others: list[Announcement]
+    ) -> tuple[int, dict[str, BackendState]] | None:
+        """Pauses copies until the old primary can have nothing confirmed; None where too few can be paused."""
+        term = lead.term + 1
+        self.fenced.add(service.name)
+        asks = [self.control.pause(backend=each, term=term, wait_us=PAUSE_WAIT_US) for each in others]
+        results = await asyncio.gather(*asks)
+        states = {m.name: r.ok for m, r in zip(others, results, strict=True) if r.is_ok()}
+        held = {name: state for name, state in states.items() if state.term_held == term}
+        # why: each acknowledged commit stands at as many copies as confirm; all sets of these meet the paused ones
+        needed = max(1, len(others) - service.confirmations + 1) if service.confirmations else 1
+        if len(held) >= needed:
+            return term, held
+        higher = [state.term_held for state in states.values() if state.term_held > term]
+        self._say(
+            service=service.name,
+            reason=f"{lead.primary} can't be fenced: {len(held)} of {needed} copies paused"
+            + (f", a higher term {max(higher)} is held" if higher else ""),
+        )
+        return None
+
+    async def _finish(self, *, service: Service, lead: ServiceLead) -> None:
+        """From moving to settled: promote, see it lead, and outwait every older view."""
+        since_us = self.lead_since_us[service.name]
+        asked_us = -PROMOTE_AGAIN_US
+        taken = False
+        while True:
+            if not self.lease.held:
+                return
+            member = self._member(name=lead.primary)
+            now_us = self.ctx.nowUs()
+            if not taken and now_us - asked_us >= PROMOTE_AGAIN_US:
+                asked_us = now_us
+                result = await self.promoter.promote(
+                    service=service.name, backend=lead.primary, fence_number=self.fence_number
+                )
+                taken = result.is_ok()
+                if result.is_error():
+                    self.ctx.log.warning("%s: %s not promoted: %s", service.name, lead.primary, result.error.why)
+                if result.is_error() and result.error.kind == Kind.noBackend:
+                    await self._supersede(service=service, lead=lead)
+                    return
+            state = None if member is None else await self.control.state(backend=member, wait_us=PROBE_WAIT_US)
+            if state is not None and state.is_ok() and state.ok.leads:
+                break
+            if self.ctx.nowUs() - since_us > GIVE_UP_US:
+                await self._supersede(service=service, lead=lead)
+                return
+            await self.ctx.rest(waitUs=POLL_US)
+        wait_us = since_us + self.outwait_us - self.ctx.nowUs()
+        if wait_us > 0:
+            await self.ctx.rest(waitUs=wait_us)
+        settled = ServiceLead(term=state.ok.term, primary=lead.primary, state=LeadState.settled)
+        self.ctx.spawn(work=self._release(service=service, lead=settled), name="release.copies")
+        if await self._put(service=service.name, old=lead, new=settled):
+            self.fenced.discard(service.name)
+            self._say(service=service.name, reason="")
+            took_us = self.ctx.nowUs() - since_us
+            self.move_us += (took_us - self.move_us) // 2
+            self.ctx.counters.gauge(name="promotion.last_move_us", value=took_us)
+
+    async def _release(self, *, service: Service, lead: ServiceLead) -> None:
+        """Has the other copies receive from the new primary, and an old one that still thinks it leads give way."""
+        for each in self._members(service=service.name):
+            if each.name != lead.primary:
+                await self.control.resume(backend=each, wait_us=PAUSE_WAIT_US)
+                if each.leads:
+                    await self.control.step_down(backend=each, term=lead.term, wait_us=PAUSE_WAIT_US)
+
+    async def _supersede(self, *, service: Service, lead: ServiceLead) -> None:
+        """The one placed does not come to lead. Another that holds everything takes its place, in a later term."""
+        self.not_before_us[service.name] = self.ctx.nowUs() + RETRY_US
+        members = [each for each in self._members(service=service.name) if each.name != lead.primary]
+        states = await self._states(members=members)
+        fit = {name: state for name, state in states.items() if state.received >= lead.fence}
+        if not fit:
+            self._say(service=service.name, reason=f"{lead.primary} does not lead, and nobody else holds everything")
+            return
+
+        def rank(name: str) -> tuple[bool, Position]:
+            return fit[name].leads, fit[name].received
+
+        best = max(sorted(fit), key=rank)
+        term = max([lead.term, *(state.term_held for state in states.values())]) + 1
+        new = replace(lead, term=term, primary=best, ready_in_us=self.move_us)
+        if await self._put(service=service.name, old=lead, new=new):
+            self.ctx.counters.add(name="promotion.superseded")
--- /dev/null
+++ b/src/cinderstair/steward/service_lead.py
@@ -0,0 +1,59 @@
+"""Who leads a service whose backends confirm commits themselves."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from ..pitch.packer import Packer
+from ..pitch.position import START, Position
+from ..pitch.unpacker import Unpacker
+
+
+class LeadState(IntEnum):
+    """settled: the primary serves. closing: open transactions may end, nothing begins. moving: nobody serves."""
+
+    settled = 0
+    closing = 1
+    moving = 2
+
+
+PREFIX = "service/"
+
+
+def service_lead_key(*, service: str) -> str:
+    return PREFIX + service
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServiceLead:
+    """The register's word on a service.
+
+    `fence`, while moving, is at or past every commit that was ever acknowledged; the one placed holds it.
+    `ready_in_us` is how long the move is expected to take from this word on; no promise.
+    """
+
+    term: int
+    primary: str
+    state: LeadState
+    fence: Position = START
+    ready_in_us: int = 0
+    planned: bool = False
+
+    def bytes(self) -> bytes:
+        packer = Packer().u64(value=self.term).text(value=self.primary).u8(value=self.state)
+        packer.u64(value=self.fence.term).u64(value=self.fence.number).u64(value=self.ready_in_us)
+        return packer.u8(value=int(self.planned)).bytes()
+
+
+def read_service_lead(*, data: bytes) -> ServiceLead:
+    """Raises ValueError where the bytes are none."""
+    unpacker = Unpacker(data=data)
+    lead = ServiceLead(
+        term=unpacker.u64(),
+        primary=unpacker.text(),
+        state=LeadState(unpacker.u8()),
+        fence=Position(unpacker.u64(), unpacker.u64()),
+        ready_in_us=unpacker.u64(),
+        planned=bool(unpacker.u8()),
+    )
+    unpacker.done()
+    return lead
--- a/src/cinderstair/vault/register.py
+++ b/src/cinderstair/vault/register.py
@@ -54,7 +54,8 @@
 class Register:
     """Each key is changed by its own ballot: prepare at a majority, then accept at a majority."""
 
-    def __init__(self, *, ctx: Context, seeds: tuple[str, ...]) -> None:
+    def __init__(self, *, ctx: Context, seeds: tuple[str, ...], own: str = "") -> None:
+        self.own = own
         self.ctx = ctx
         self.seeds = seeds
         self.proposer = ctx.luck.getrandbits(63) | 1
@@ -111,7 +112,8 @@
         voters = list(roster.voters)
         if first:
             self.ctx.luck.shuffle(voters)
-            voters.sort(key=lambda voter: voter.ident in self.failed)
+            # why: a vault's own vote costs no journey
+            voters.sort(key=lambda voter: (voter.ident in self.failed, voter.address != self.own))
         later = voters[first:] if first else []
         pending = {self.ctx.spawn(work=one(voter)) for voter in voters[: len(voters) - len(later)]}
         while pending and not enough(answers):
--- a/src/cinderstair/vault/vault.py
+++ b/src/cinderstair/vault/vault.py
@@ -33,7 +33,7 @@
         self.halt = halt
         self.desk = Desk(ctx=ctx)
         self.strangers: dict[str, Voter] = {}
-        self.register = Register(ctx=ctx, seeds=settings.seeds)
+        self.register = Register(ctx=ctx, seeds=settings.seeds, own=settings.records)
         self.me: Voter | None = None
         self.acceptor: Acceptor | None = None
         self.crowd: Crowd | None = None
@@ -70,7 +70,9 @@
             http=self.settings.http,
             incarnation=1,
         )
-        self.crowd = Crowd(ctx=self.ctx, desk=self.desk, me=me, seeds=self.settings.seeds)
+        self.crowd = Crowd(
+            ctx=self.ctx, desk=self.desk, me=me, seeds=self.settings.seeds, everyUs=self.settings.probeEveryUs
+        )
         await self.ctx.net.listen(address=self.settings.records, answer=self.desk.answer)
         self.ctx.spawn(work=self._meet(), name="vault.meet")
         self.ctx.log.info("vault %s ident %x", self.me.name, self.me.ident)
@@ -80,6 +82,10 @@
     def roster(self) -> Roster | None:
         return None if self.acceptor is None else self.acceptor.roster
 
+    @property
+    def most(self) -> int:
+        return self.settings.mostVaults or self.settings.foundingVaults
+
     async def _hello(self, unpacker: Unpacker) -> bytes:
         voter = readVoter(unpacker=unpacker)
         unpacker.done()
@@ -135,7 +141,7 @@
                 return
             await self.acceptor.install(key=key, ballot=found.ok.ballot, value=found.ok.value)
         succession = Succession(ctx=self.ctx, register=self.register)
-        entered = await succession.succeed(leaves=self.me.name, enters=self.me, most=self.settings.foundingVaults)
+        entered = await succession.succeed(leaves=self.me.name, enters=self.me, most=self.most)
         if entered.is_ok():
             await self._adopt(data=entered.ok.bytes())
         else:
@@ -149,7 +155,7 @@
         """A blank seed that has met as many vaults as found the system puts their roster to the seeds' vote."""
         assert self.me is not None
         enough = len(self.strangers) >= self.settings.foundingVaults
-        if self.me.address not in self.settings.seeds or not enough:
+        if self.me.address not in self.settings.seeds or not enough or not self.settings.mayFound:
             return
         voters = tuple(sorted(self.strangers.values(), key=lambda v: v.name)[: self.settings.foundingVaults])
         mine = Roster(epoch=1, voters=voters).bytes()
@@ -167,3 +173,4 @@
 
     def resettle(self, *, settings: Settings) -> None:
         self.settings = settings
+        self.register.seeds = settings.seeds
