News among guildhalls is pulled at once at a start, from voters and seeds

Cause: after all machines lose power each guildhall knew only the backends that beat to it until the membership had met the others, by turns of a second; booths had a plan and a third of the backends. Ruled out: slow vaults (the plan was in force 1.2 s after the return); booths' start (0.5 s). Conclusion: who is asked for news no longer rests on the membership's pace.

--- /dev/null
+++ b/src/cinderstair/booth/relayed_view.feature
@@ -0,0 +1,54 @@
+Feature: What a booth knows, from one guildhall at a time
+
+  Background:
+    Given a view that asks "g1, g2"
+
+  Scenario: It stays with the guildhall that answered, and asks it for changes alone
+    When the view keeps itself for 1000 ms
+    Then the view is current
+    And it asked for everything once, and stayed with one guildhall
+
+  Scenario: It is as old as what its guildhall knew, counted from the asking
+    Given "g1, g2" know things 700 ms old
+    When the view keeps itself for 1000 ms
+    Then the view is current
+    When the guildhalls "g1, g2" are silent for 600 ms
+    Then the view is not current
+
+  Scenario: A guildhall that is silent is left for another
+    When the view keeps itself for 1000 ms
+    And the guildhall that it asks is silent for 1500 ms
+    Then the view is current
+
+  Scenario: A guildhall that is cut off from the others knows nothing current, and is left for another
+    Given "g1" know things 5000 ms old
+    When the view keeps itself for 2000 ms
+    Then the view is current
+
+  Scenario: The register never goes back, whatever a guildhall that lags says
+    Given "g1, g2" tell the plan of version 7 under turn 3
+    When the view keeps itself for 500 ms
+    Then the view's plan is 7
+    Given "g1, g2" tell the plan of version 9 under turn 2
+    When the view keeps itself for 500 ms
+    Then the view's plan is 7
+    Given "g1, g2" tell the plan of version 6 under turn 4
+    When the view keeps itself for 500 ms
+    Then the view's plan is 7
+    Given "g1, g2" tell the plan of version 8 under turn 5
+    When the view keeps itself for 500 ms
+    Then the view's plan is 8
+
+  Scenario Outline: An answer that can't be read does not end the asking
+    Given "g1, g2" tell <what>
+    When the view keeps itself for 1000 ms
+    Given "g1, g2" tell the plan of version 8 under turn 5
+    When the view keeps itself for 3000 ms
+    Then the view is current
+    And the view's plan is 8
+
+    Examples:
+      | what                      |
+      | noise                     |
+      | a plan that is none       |
+      | a lead that is none       |
--- /dev/null
+++ b/src/cinderstair/booth/router.feature
@@ -0,0 +1,119 @@
+Feature: Which backend a statement may go to
+
+  Scenario: Reads go to the nearest copies first, the primary in its turn by nearness
+    Given a booth, where "a" leads and "b, c" are copies, all at 3.5
+    And "b" stands 3 away
+    Then reads may go to "c, a, b"
+    Given "c" stands 1 away
+    Then reads may go to "a, c, b"
+
+  Scenario: A primary with much to do comes last, and one with too much not at all
+    Given a booth, where "a" leads and "b, c" are copies, all at 3.5
+    When 3 links of "a" are taken
+    Then reads may go to "c, b, a"
+
+  Scenario: A copy in trouble comes last
+    Given a booth, where "a" leads and "b, c" are copies, all at 3.5
+    When "c" is in trouble
+    Then reads may go to "b, a, c"
+
+  Scenario: A busy copy gives way to one as near
+    Given a booth, where "a" leads and "b, c" are copies, all at 3.5
+    And "a" stands 3 away
+    When 1 links of "b" are taken
+    Then reads may go to "c, b, a"
+
+  Scenario: Nobody surely leads while this booth is out of touch, and copies may still be read
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    Then the surely leading primary is "a"
+    When the booth has been out of touch for 1100 ms
+    Then the surely leading primary is "a"
+    When the booth has been out of touch for 200 ms
+    Then the surely leading primary is "notCurrent"
+    And reads may go to "b"
+
+  Scenario: Nobody surely leads while the lead closes or moves
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    When the lead is closing
+    Then the surely leading primary is "moving"
+    When the lead moves to "b" at 3.5, to be ready in 500 ms
+    Then the surely leading primary is "moving"
+
+  Scenario Outline: The position that a guarded read needs
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    And the primary's position was asked for <ago> ms ago
+    Then a guarded read of <sort> routes with <age> ms of age, whose session is at <own>, needs "<needs>"
+
+    Examples: a margin of 60 ms
+      | ago | sort    | age  | own | needs    |
+      | 100 | bounded | 500  | -   | 3.5      |
+      | 400 | bounded | 500  | -   | 3.5      |
+      | 450 | bounded | 500  | -   | tooStale |
+      | 100 | session | 500  | 3.9 | 3.9      |
+      | 100 | session | 500  | 3.2 | 3.5      |
+      | 100 | bounded | 0    | -   | tooStale |
+
+  Scenario: What a move's fence cuts off is needed no more
+    Given a booth, where "a" leads and "b" are copies, all at 3.9
+    And the primary's position was asked for 10 ms ago
+    When the lead moves to "b" at 3.6, to be ready in 500 ms
+    And the router tends for 100 ms
+    Then a guarded read of bounded routes with 900 ms of age, whose session is at -, needs "3.6"
+
+  Scenario: A position is asked for only where reads want one
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    When the router tends for 3000 ms
+    Then "state" were not sent to "a"
+    And a guarded read of bounded routes with 900 ms of age, whose session is at -, needs "tooStale"
+    When the router tends for 500 ms
+    Then a guarded read of bounded routes with 900 ms of age, whose session is at -, needs "3.5"
+
+  Scenario: A position that an old primary shows while the lead moves counts for nothing
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    When the lead moves to "b" at 3.5, to be ready in 500 ms
+    And the client asks "FETCH 1"
+    Then "FETCH 1" were not sent to "a"
+    And a guarded read of bounded routes with 900 ms of age, whose session is at -, needs "tooStale"
+
+  Scenario Outline: All booths together keep within a backend's cap
+    Given a booth, where "a" leads and "b, c" are copies, all at 3.5
+    Then with <cap> links for each backend and <booths> booths all limits stay within the cap, control links apart
+
+    Examples:
+      | cap | booths |
+      | 59  | 1      |
+      | 59  | 7      |
+      | 26  | 20     |
+
+  Scenario: A booth without a number takes no more than it will have
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    Then with 59 links and 6 booths, one more without a number takes no larger part than it will have
+
+  Scenario: A copy that empties gets nothing new, and is open again when it says so
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    When "b" says that it is emptying
+    Then "b" is open to new statements: no
+    And reads may go to "a"
+    When "b" says that it is ready
+    Then "b" is open to new statements: yes
+
+  Scenario: A primary that empties serves on until its place is taken, or for 5 s
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    When "a" says that it is emptying
+    Then "a" is open to new statements: yes
+    When the router tends for 4800 ms
+    Then "a" is open to new statements: yes
+    When the router tends for 500 ms
+    Then "a" is open to new statements: no
+
+  Scenario: A primary that empties is shut as soon as another has its place
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    When "a" says that it is emptying
+    And the lead moves to "b" at 3.5, to be ready in 500 ms
+    Then "a" is open to new statements: no
+
+  Scenario: A backend that is gone is forgotten
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    When "b" says that it is gone
+    Then "b" is open to new statements: no
+    And reads may go to "a"
--- a/src/cinderstair/crier/crowd.py
+++ b/src/cinderstair/crier/crowd.py
@@ -44,6 +44,7 @@
         self.openQueue()
         desk.open(kind=PROBE, answer=self._probed)
         desk.open(kind=PROBE_FOR, answer=self._probedFor)
+        self.post(command=self._tick, once="probe")
         self.every(everyUs=everyUs, command=self._tick, name="probe")
 
     def alive(self, *, role: str = "") -> list[Member]:
@@ -136,9 +137,9 @@
     async def _round(self) -> None:
         # why: seeds are asked whenever nobody is known, and now and then, so that two halves find each other
         if not self.alive() or self.ctx.luck.random() < 0.05:
-            seed = self.ctx.luck.choice(self.seeds)
-            if seed != self.me.records:
-                await self._probe(address=seed, waitUs=PROBE_WAIT_US)
+            others = [seed for seed in self.seeds if seed != self.me.records]
+            if others:
+                await self._probe(address=self.ctx.luck.choice(others), waitUs=PROBE_WAIT_US)
         member = self._next()
         if member is None:
             return
--- a/src/cinderstair/crier/news.py
+++ b/src/cinderstair/crier/news.py
@@ -55,7 +55,7 @@
 
 
 class News(OwnerMixin, Generic[B]):
-    """Owns the table of beats. Every daemon that hears a beat is a source; those of a role pull from one another."""
+    """Owns the table of beats. Every daemon that hears a beat is a source; they pull from one another."""
 
     def __init__(
         self,
@@ -64,14 +64,14 @@
         desk: Desk,
         crowd: Crowd,
         read: Callable[[Unpacker], Any] = lambda unpacker: readBeat(unpacker=unpacker),
-        role: str = "stall",
+        peers: Callable[[], list[str]] | None = None,
         everyUs: int = PULL_EVERY_US,
         quietUs: int = QUIET_US,
     ) -> None:
         self.ctx = ctx
         self.crowd = crowd
         self.read = read
-        self.role = role
+        self.peers = peers or self._stalls
         self.quietUs = quietUs
         self.source = ctx.luck.getrandbits(62) | 1
         self.version = 0
@@ -87,6 +87,13 @@
         desk.open(kind=NEWS, answer=self._asked)
         self.every(everyUs=everyUs, command=self._tick, name="pull")
 
+    def _stalls(self) -> list[str]:
+        return [member.records for member in self.crowd.alive(role="stall")]
+
+    def begin(self) -> None:
+        """Pulls at once, not only at the next turn, since whoever begins lacks everything."""
+        self.post(command=self._tick, once="pull")
+
     def hear(self, *, beat: B) -> None:
         """A beat came in at our own edge."""
         known = self.best.get(beat.name)
@@ -165,11 +172,11 @@
         for key, heard in list(self.heard.items()):
             if nowUs - heard.bornUs > FORGET_US:
                 del self.heard[key]
-        peers = self.crowd.alive(role=self.role)
+        peers = self.peers()
         self.alone = not peers
         self.ctx.luck.shuffle(peers)
-        for peer in peers[:PULL_FROM]:
-            self.ctx.spawn(work=self._pull(address=peer.records), name="news.pull")
+        for address in peers[:PULL_FROM]:
+            self.ctx.spawn(work=self._pull(address=address), name="news.pull")
 
     async def _pull(self, *, address: str) -> None:
         askedUs = self.ctx.nowUs()
--- a/src/cinderstair/guildhall/guildhall.py
+++ b/src/cinderstair/guildhall/guildhall.py
@@ -65,7 +65,7 @@
             desk=vault.desk,
             crowd=vault.crowd,
             read=lambda unpacker: read_announcement(unpacker=unpacker),
-            role="vault",
+            peers=self._neighbours,
             everyUs=NEWS_EVERY_US,
             quietUs=self.quiet_us,
         )
@@ -97,6 +97,8 @@
             relay=self.relay,
             neighbours=self._neighbours,
         )
+        self.view.post(command=self.view.pull, once="view")
+        self.news.begin()
         vault.desk.open(kind=SUSPECT, answer=self._suspected)
         vault.desk.open(kind=OPINION, answer=self._opinion)
         return Ok(None)
@@ -108,7 +110,11 @@
         return tuple(sorted({self.settings.records, *others}))
 
     def _neighbours(self) -> list[str]:
-        return [address for address in self._guildhalls() if address != self.settings.records]
+        """The others: those met, those that vote, and while nobody votes yet the seeds."""
+        roster = self.vault.roster or self.vault.register.roster
+        voters = self.settings.seeds if roster is None else tuple(voter.address for voter in roster.voters)
+        addresses = dict.fromkeys((*self._guildhalls(), *voters))
+        return [address for address in addresses if address != self.settings.records]
 
     def _shorten(self, key: str, value: bytes) -> bytes:
         """Booths act on the compiled plan; the operator's document stays here."""
--- /dev/null
+++ b/src/cinderstair/guildhall/slot_keeper.feature
@@ -0,0 +1,47 @@
+Feature: Dense, stable ids for booths
+
+  Scenario: Whoever asks any guildhall is dealt an id, all in one write
+    Given 3 guildhalls that keep slots
+    And "b1, b2" ask core-1
+    And "b3" ask core-2
+    When 8 s pass at the keepers
+    Then the slots are "0 b1, 1 b2, 2 b3"
+    And they were written 1 times
+
+  Scenario: One that comes later gets the lowest that is free, and nobody else's changes
+    Given 2 guildhalls that keep slots
+    And "b1, b2, b3" ask core-1
+    When 8 s pass at the keepers
+    And "b2" are silent from now on
+    And 29 s pass at the keepers
+    Then the slots are "0 b1, 1 b2, 2 b3"
+    When 5 s pass at the keepers
+    Then the slots are "0 b1, 2 b3"
+    When "a9" ask core-2
+    And 5 s pass at the keepers
+    Then the slots are "0 b1, 1 a9, 2 b3"
+
+  Scenario: One that is back within its time of grace keeps its id
+    Given 2 guildhalls that keep slots
+    And "b1, b2" ask core-1
+    When 8 s pass at the keepers
+    And "b1" are silent from now on
+    And 25 s pass at the keepers
+    And "b1" ask core-2
+    And 40 s pass at the keepers
+    Then the slots are "0 b1, 1 b2"
+    And they were written 1 times
+
+  Scenario: Who takes the duty frees nobody whom it has only not heard of yet
+    Given 3 guildhalls that keep slots
+    And "b1" ask core-1
+    And "b2" ask core-2
+    And "b3" ask core-3
+    When 8 s pass at the keepers
+    And the keeper that holds the duty dies
+    And 45 s pass at the keepers
+    Then the slots are "0 b1, 1 b2, 2 b3"
+
+  Scenario: A keeper tells its neighbours whom it sees
+    Given 1 guildhalls that keep slots
+    Then a keeper that is asked tells how long ago it saw each booth
--- /dev/null
+++ b/src/cinderstair/steward/promotion_duty.feature
@@ -0,0 +1,228 @@
+Feature: The duty of keeping a primary
+
+  Scenario: Whoever leads by its own account is taken at its word at first
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    Then the lead went "settled a 3"
+    And the platform was asked to promote "nobody"
+
+  Scenario: Nobody is promoted while all is well
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    When 20000 ms pass at the guildhalls
+    Then the lead went "settled a 3"
+    And "b" was told "nothing"
+
+  Scenario: A planned move says that it closes, fences, places, and outwaits all older views
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    When "a" announces that it empties
+    And the copies are paused
+    Then "b" leads and the lead is settled within 4000 ms
+    And the lead went "settled a 3, closing a 3, moving b 4, settled b 4"
+    And the platform was asked to promote "b under 1"
+    And between the word that it moves and the word that it settled all older views ran out
+    And the copies were paused at least 300 ms after the word that it closes
+    And "a" was told "resume, step down 4"
+    And no acknowledged commit is lost
+    And nobody but one leads, and no copy is paused
+    And commits are acknowledged again
+    And no guildhall has crashed
+
+  Scenario: A primary that crashed has its place taken by the furthest copy
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And "b" is 40 behind
+    And the duty is held and the lead settled
+    When what was acknowledged is noted
+    And "a" crashes
+    And "a" is suspected
+    Then "c" leads and the lead is settled within 4000 ms
+    And the lead went "settled a 3, moving c 4, settled c 4"
+    And the position that the lead was fenced at is at or past every acknowledged commit
+    And no acknowledged commit is lost
+    And "b" was told "pause 4, resume"
+    And nobody but one leads, and no copy is paused
+    And commits are acknowledged again
+
+  Scenario: A primary that nobody suspects is missed by its beats
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    When "a" crashes
+    Then "b" leads and the lead is settled within 7000 ms
+    And no acknowledged commit is lost
+
+  Scenario Outline: A suspicion alone moves nothing
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    And "a" is <reach> to the guildhalls
+    When "a" is suspected
+    And 2000 ms pass at the guildhalls
+    Then the lead went "settled a 3"
+    And "b" was told "nothing"
+
+    Examples: it takes connections, and its beats come
+      | reach     |
+      | reachable |
+      | silent    |
+
+  Scenario Outline: Whether a primary is gone is judged by what most guildhalls see
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    And of <asked> other guildhalls <reached> reach it
+    And "a" is dark to the guildhalls
+    When "a" is suspected
+    And 3000 ms pass at the guildhalls
+    Then the lead is settled on "<primary>"
+    And the platform was asked to promote "<promoted>"
+
+    Examples:
+      | asked | reached | primary | promoted  |
+      | 2     | 2       | a       | nobody    |
+      | 4     | 3       | a       | nobody    |
+      | 1     | 1       | a       | nobody    |
+      | 2     | 1       | b       | b under 1 |
+      | 2     | 0       | b       | b under 1 |
+      | 0     | 0       | b       | b under 1 |
+
+  Scenario Outline: With too few copies paused nobody is placed
+    Given a service with <confirmations> confirmations, where "a" leads and "b, c, d" are copies
+    And "b" can't be paused
+    And the duty is held and the lead settled
+    When "a" crashes
+    And "a" is suspected
+    And 3000 ms pass at the guildhalls
+    Then the platform was asked to promote "<promoted>"
+    And no acknowledged commit is lost
+
+    Examples: of 3 copies, each acknowledged commit stands at as many as confirm
+      | confirmations | promoted  |
+      | 1             | nobody    |
+      | 2             | c under 1 |
+
+  Scenario: Copies that were paused in vain are resumed, after a write that shuts the move out
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And "b" can't be paused
+    And the duty is held and the lead settled
+    When "a" is dark to the guildhalls
+    And "a" is suspected
+    And the copies are paused
+    And "a" is reachable to the guildhalls
+    And 2000 ms pass at the guildhalls
+    Then the platform was asked to promote "nobody"
+    And the lead is settled on "a"
+    And each copy that was paused was resumed, and only after a write that confirms the lead
+    And nobody but one leads, and no copy is paused
+    And commits are acknowledged again
+
+  Scenario: While the last copy is not there nothing is moved
+    Given a service with 1 confirmations, where "a" leads and "b" are copies
+    And the duty is held and the lead settled
+    When "b" crashes
+    And 1000 ms pass at the guildhalls
+    And "a" crashes
+    And "a" is suspected
+    And 3000 ms pass at the guildhalls
+    Then the platform was asked to promote "nobody"
+    When "a" comes back
+    And 3000 ms pass at the guildhalls
+    Then the lead is settled on "a"
+
+  Scenario: One that is not running gives way to another that holds everything
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the platform says that "b" is not running
+    And the duty is held and the lead settled
+    When "a" crashes
+    And "a" is suspected
+    Then "c" leads and the lead is settled within 5000 ms
+    And the platform was asked to promote "b under 1, c under 1"
+    And no acknowledged commit is lost
+
+  Scenario: One that is not running does not give way to another that holds less
+    Given a service with 2 confirmations, where "a" leads and "b, c, d" are copies
+    And "b" is 40 behind
+    And "c" can't be paused
+    And the duty is held and the lead settled
+    And "c" crashes
+    And the platform says that "d" is not running
+    When "a" crashes
+    And "a" is suspected
+    And 4000 ms pass at the guildhalls
+    Then the lead is moving on "d"
+    And no acknowledged commit is lost
+    When "c" comes back
+    Then "c" leads and the lead is settled within 4000 ms
+    And no acknowledged commit is lost
+
+  Scenario: One that does not come to lead is given up after a while
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And "b" never comes to lead
+    And the duty is held and the lead settled
+    When "a" crashes
+    And "a" is suspected
+    Then "c" leads and the lead is settled within 9000 ms
+    And no acknowledged commit is lost
+
+  Scenario: An old primary that comes back in the middle of a move gives way
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    When "a" crashes
+    And "a" is suspected
+    And the copies are paused
+    And "a" comes back
+    Then "b" leads and the lead is settled within 4000 ms
+    And no acknowledged commit is lost
+    And nobody but one leads, and no copy is paused
+
+  Scenario Outline: A holder that dies in the middle has its move ended by the next
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    And another guildhall waits for the duty
+    When "a" crashes
+    And "a" is suspected
+    And the holder of the duty dies <moment>
+    Then "b" leads and the lead is settled within 9000 ms
+    And no acknowledged commit is lost
+    And commits are acknowledged again
+    And nobody but one leads, and no copy is paused
+    And no guildhall has crashed
+
+    Examples:
+      | moment                           |
+      | when the copies are paused       |
+      | when the lead moves              |
+      | when the platform has been asked |
+      | when another leads               |
+
+  Scenario: A holder that dies with copies paused, and a primary that is well after all
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    And another guildhall waits for the duty
+    When "a" is dark to the guildhalls
+    And "a" is suspected
+    And the holder of the duty dies when the copies are paused
+    And "a" is reachable to the guildhalls
+    And 6000 ms pass at the guildhalls
+    Then the lead is settled on "a"
+    And each copy that was paused was resumed, and only after a write that confirms the lead
+    And nobody but one leads, and no copy is paused
+    And commits are acknowledged again
+
+  Scenario: Two holders never call under the same fence
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    And another guildhall waits for the duty
+    When "a" crashes
+    And "a" is suspected
+    And the holder of the duty dies when the platform has been asked
+    Then "b" leads and the lead is settled within 9000 ms
+    And no two holders ever called under the same fence, and the fences rose
+
+  Scenario: A holder that is cut off from the register places nobody
+    Given a service with 1 confirmations, where "a" leads and "b, c" are copies
+    And the duty is held and the lead settled
+    When the holder of the duty is cut off from the register
+    And "a" crashes
+    And "a" is suspected
+    And 8000 ms pass at the guildhalls
+    Then the platform was asked to promote "nobody"
+    And the lead went "settled a 3"
