Disk work runs beside the loop; a vault at a new address takes the place of one long gone

Cause: control machines are replaced by empty ones under other names and addresses, and disks hang for seconds; a full roster let no stranger in without an operator, and a hanging sync held up the whole daemon. Ruled out: letting strangers vote besides (two majorities could then miss one another). Conclusion: the roster still changes by one voter at a time; what changed is who may ask for it.

--- a/src/cinderstair/fairground/simdisk.py
+++ b/src/cinderstair/fairground/simdisk.py
@@ -1,6 +1,8 @@
 """A simulated disk: outlives its machine's runs, and can fail, tear or be lost."""
 
+import asyncio
 import random
+from collections.abc import Awaitable, Callable
 
 
 class SimDisk:
@@ -12,6 +14,16 @@
         self.failNext = False
         self.tearNext = False
         self.syncs = 0
+        self.hangs = 0.0
+
+    def beside(self, *, work: Callable[[], None]) -> Awaitable[None]:
+        return self._beside(work)
+
+    async def _beside(self, work: Callable[[], None]) -> None:
+        # why: a disk that hangs holds up only those who wait for it, as a real one does beside the loop
+        if self.hangs:
+            await asyncio.sleep(self.hangs)
+        work()
 
     def _strike(self, *, name: str, old: bytes, new: bytes) -> None:
         self.syncs += 1
--- a/src/cinderstair/pitch/disk.py
+++ b/src/cinderstair/pitch/disk.py
@@ -1,5 +1,6 @@
 """What our processes may ask of a disk. A file lasts only once it has been synced."""
 
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 
@@ -17,3 +18,7 @@
     def append(self, *, name: str, data: bytes) -> None:
         """Adds to the file's end and syncs it."""
         ...
+
+    def beside(self, *, work: Callable[[], None]) -> Awaitable[None]:
+        """Runs calls of this disk so that the loop need not wait for them; one piece of work after the other."""
+        ...
--- a/src/cinderstair/pitch/realdisk.py
+++ b/src/cinderstair/pitch/realdisk.py
@@ -1,6 +1,9 @@
 """The data folder on a real disk."""
 
+import asyncio
 import os
+from collections.abc import Awaitable, Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 
@@ -11,6 +14,11 @@
         self.folder = Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.handles: dict[str, int] = {}
+        # why: one thread, whose whole work is to wait: a disk that hangs must hold up nobody but those who need it
+        self.thread = ThreadPoolExecutor(max_workers=1, thread_name_prefix="disk")
+
+    def beside(self, *, work: Callable[[], None]) -> Awaitable[None]:
+        return asyncio.get_running_loop().run_in_executor(self.thread, work)
 
     def _syncFolder(self) -> None:
         handle = os.open(self.folder, os.O_RDONLY)
--- a/src/cinderstair/vault/acceptor.py
+++ b/src/cinderstair/vault/acceptor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from ..pitch.context import Context
 from ..pitch.packer import Packer
@@ -43,7 +44,7 @@
             entries = [entry for (_, each), _ in applied for entry in each]
             if entries:
                 try:
-                    self.store.save(entries=entries)
+                    await self.store.disk.beside(work=partial(self.store.save, entries=entries))
                 except OSError as error:
                     # why: after a failed sync nobody knows what the disk holds; no answer may leave, now or later
                     self.halted = True
--- a/src/cinderstair/vault/vault.py
+++ b/src/cinderstair/vault/vault.py
@@ -6,7 +6,7 @@
 from expression import Error, Ok, Result
 
 from ..crier.crowd import Crowd
-from ..crier.member import Member
+from ..crier.member import Member, Standing
 from ..pitch.context import Context
 from ..pitch.desk import Desk
 from ..pitch.desks import ACCEPT, ADOPT, HELLO, LEASE, PREPARE, READ, VECTOR
@@ -22,6 +22,8 @@
 
 HELLO_EVERY_US = 250_000
 HELLO_WAIT_US = 500_000
+GONE_US = 8_000_000
+LEFT_US = 5_000_000
 
 
 class Vault:
@@ -37,6 +39,8 @@
         self.me: Voter | None = None
         self.acceptor: Acceptor | None = None
         self.crowd: Crowd | None = None
+        self.mayFound = True
+        self.missingUs: dict[str, int] = {}
 
     async def start(self) -> Result[None, Fault]:
         opened = Store(disk=self.ctx.disk).open()
@@ -44,6 +48,8 @@
             return Error(opened.error)
         store = opened.ok
         fresh = store.held.ident == 0
+        # why: a blank disk where the system has run before is a lost one, and must not found a second system
+        self.mayFound = self.settings.mayFound or not fresh
         if fresh:
             store.held.ident = self.ctx.luck.getrandbits(62) | 1
             store.save(entries=[identEntry(ident=store.held.ident)])
@@ -129,8 +135,11 @@
                 await self._adopt(data=data)
 
     async def _enter(self) -> None:
-        """A vault with a blank disk takes a snapshot, then the place that its name has, or had, in the roster."""
+        """A stranger takes a snapshot, then the place of its own name in the roster, or of one long gone."""
         assert self.me is not None and self.acceptor is not None
+        leaves = self._gone()
+        if leaves is None:
+            return
         # why: what the others hold is taken first, so that from its first vote on it stands for something
         highest = await self.register.vector()
         if highest.is_error():
@@ -141,12 +150,31 @@
                 return
             await self.acceptor.install(key=key, ballot=found.ok.ballot, value=found.ok.value)
         succession = Succession(ctx=self.ctx, register=self.register)
-        entered = await succession.succeed(leaves=self.me.name, enters=self.me, most=self.most)
+        entered = await succession.succeed(leaves=leaves, enters=self.me, most=self.most)
         if entered.is_ok():
             await self._adopt(data=entered.ok.bytes())
         else:
             self.ctx.counters.add(name="vault.entersAgain")
 
+    def _gone(self) -> str | None:
+        """Whose place may be taken: that of its own name, a free one (an empty name), or that of one long gone."""
+        assert self.me is not None and self.crowd is not None and self.roster is not None
+        names = [voter.name for voter in self.roster.voters]
+        if self.me.name in names:
+            return self.me.name
+        if len(names) < self.most:
+            return ""
+        nowUs = self.ctx.nowUs()
+        here = {member.name for member in self.crowd.alive(role="vault")}
+        self.missingUs = {name: self.missingUs.get(name, nowUs) for name in names if name not in here}
+        for name, sinceUs in self.missingUs.items():
+            # why: who says goodbye may only be restarted, and who is silent may only be cut off; the roster's own
+            # rule keeps both harmless, and a place that changes hands for nothing costs a snapshot
+            waitUs = LEFT_US if self.crowd.standing(name=name) == Standing.left else GONE_US
+            if nowUs - sinceUs > waitUs:
+                return name
+        return None
+
     async def _adopt(self, *, data: bytes) -> None:
         assert self.acceptor is not None
         await self.acceptor.adopt(Unpacker(data=Packer().blob(value=data).bytes()))
@@ -155,7 +183,7 @@
         """A blank seed that has met as many vaults as found the system puts their roster to the seeds' vote."""
         assert self.me is not None
         enough = len(self.strangers) >= self.settings.foundingVaults
-        if self.me.address not in self.settings.seeds or not enough or not self.settings.mayFound:
+        if self.me.address not in self.settings.seeds or not enough or not self.mayFound:
             return
         voters = tuple(sorted(self.strangers.values(), key=lambda v: v.name)[: self.settings.foundingVaults])
         mine = Roster(epoch=1, voters=voters).bytes()
