A primary that leaves steps down itself; copies that are silent hold up no move; scarce links are lent

Ruled out: counting fewer copies (an acknowledged commit could stand on the missing one alone). Conclusion: planned moves need one full copy; unplanned ones all but what the confirmations cover. Also: a booth with less than one link of a backend's cap holds one only while it uses it (not yet measured).

--- a/src/cinderstair/booth/link_pool.py
+++ b/src/cinderstair/booth/link_pool.py
@@ -19,6 +19,7 @@
 WAITING_PER_LINK = 16
 SILENT_US = 600_000
 OWED_US = 2_500_000
+FULL_US = 25_000
 
 
 class LinkPool:
@@ -32,6 +33,7 @@
         self.dialer = dialer
         self.on_trouble = on_trouble
         self.limit = 1
+        self.linger_us = 0
         self.closed = False
         self.idle: list[Link] = []
         self.taken: dict[int, tuple[Link, int]] = {}
@@ -89,6 +91,7 @@
         if self.closed:
             return Error(Fault(kind=Kind.noBackend, why=f"{self.backend.name} is leaving"))
         link = self._pick(values=values)
+        self.turn += 1
         if link is not None:
             return Ok(self._take(link=link))
         now_us = self.ctx.nowUs()
@@ -100,7 +103,6 @@
         if not self.idle and not self.taken and not self.dialing and now_us < self.dial_from_us:
             return Error(Fault(kind=Kind.noBackend, why=f"{self.backend.name} does not answer"))
         future: asyncio.Future[Link] = asyncio.get_running_loop().create_future()
-        self.turn += 1
         heapq.heappush(self.waiting, (rank, self.turn, future))
         self.grow()
         try:
@@ -141,13 +143,20 @@
             result = await self.dialer(backend=self.backend, wait_us=DIAL_WAIT_US)
         finally:
             self.dialing -= 1
+        if result.is_error() and result.error.kind == Kind.crowded:
+            # why: a backend that is full is there; others give their links back, so it is asked again soon
+            self.ctx.counters.add(name="links.full")
+            self.heard_us = self.ctx.nowUs()
+            wait_us = self.ctx.luck.randrange(FULL_US, 2 * FULL_US)
+            self.dial_from_us = self.ctx.nowUs() + wait_us
+            await self.ctx.rest(waitUs=wait_us)
+            self.grow()
+            return
         if result.is_error():
             self.failures += 1
             wait_us = min(BACK_OFF_MOST_US, BACK_OFF_US << min(self.failures, 5))
             self.dial_from_us = self.ctx.nowUs() + self.ctx.luck.randrange(wait_us // 2, wait_us)
-            # why: a backend that is full is there; one that can't be reached may be gone
-            if result.error.kind != Kind.crowded:
-                self.blame()
+            self.blame()
             if not self.taken and not self.idle and not self.dialing:
                 self._fail_waiting()
             return
@@ -178,6 +187,15 @@
                 future.set_result(self._take(link=link))
                 return
         self.idle.append(link)
+        if self.linger_us:
+            asyncio.get_running_loop().call_later(self.linger_us / 1_000_000, self._give_back, link, self.turn)
+
+    def _give_back(self, link: Link, turn: int) -> None:
+        # why: where there are fewer links than booths, one that nobody has used since must go to another booth
+        if turn == self.turn and any(each is link for each in self.idle):
+            self.idle = [each for each in self.idle if each is not link]
+            self.ctx.counters.add(name="links.given_back")
+            link.close()
 
     def release(self, *, link: Link, keep: bool = True) -> None:
         """Gives a link back; one that still owes an answer, or is lost, goes."""
--- a/src/cinderstair/booth/relayed_view.py
+++ b/src/cinderstair/booth/relayed_view.py
@@ -27,7 +27,7 @@
 HASTE_EVERY_US = 90_000
 PULL_WAIT_US = 450_000
 # why: no setting, since whoever moves a lead waits for all views by its own figure, so all must have the same
-LEASE_US = 1_200_000
+LEASE_US = 1_000_000
 
 
 class RelayedView:
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -27,6 +27,7 @@
 PRIMARY_READS = 3
 WANTED_FOR_US = 4_000_000
 LEAVE_US = 5_000_000
+LINGER_US = 400_000
 MOST_ALIASES = 4_096
 
 
@@ -100,6 +101,8 @@
             part = cap // (len(ids) + 1) if booth_id is None else allotment(cap=cap, userIds=ids, stallId=booth_id)
             for name in listed:
                 self.pools[name].limit = max(1, part)
+                # why: with fewer links than booths each holds one only while it uses it
+                self.pools[name].linger_us = LINGER_US if cap < len(ids) else 0
                 self._obey(name=name, leads=lead is not None and lead.primary == name)
 
     def _obey(self, *, name: str, leads: bool) -> None:
@@ -129,10 +132,10 @@
             if lead is None:
                 continue
             primary = self.pools.get(lead.primary)
-            if primary is not None and lead.state == LeadState.settled:
+            if primary is not None and lead.state == LeadState.settled and not primary.linger_us:
                 primary.warm(count=1)
             copies = self.copies(service=service)
-            if copies:
+            if copies and not copies[0].linger_us:
                 copies[0].warm(count=1)
             self._sample(service=service, lead=lead)
 
--- a/src/cinderstair/guildhall/guildhall.py
+++ b/src/cinderstair/guildhall/guildhall.py
@@ -131,10 +131,13 @@
     def _troubled(self, name: str, booth: str) -> None:
         """A booth finds a backend silent; the holder of the duty is told, wherever it is."""
         now_us = self.ctx.nowUs()
+        # why: a copy that is gone is read round by each booth; only a primary's loss is anybody's duty
+        if not any(lead.primary == name for lead in self.duty.leads.values()):
+            return
         if now_us - self.troubled_us.get(name, -TROUBLE_EVERY_US) < TROUBLE_EVERY_US:
             return
         self.troubled_us[name] = now_us
-        self.ctx.log.info("%s finds %s silent", booth, name)
+        self.ctx.counters.add(name="promotion.suspicions")
         if self.duty.lease.held:
             self.duty.suspect(name=name)
             return
--- a/src/cinderstair/steward/promotion_duty.py
+++ b/src/cinderstair/steward/promotion_duty.py
@@ -1,15 +1,16 @@
 """The duty of keeping a primary for every service whose backends confirm commits themselves."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import replace
+from typing import Any, NamedTuple
 
 from expression import Error, Ok, Result
 
 from ..charter.service_plan import PLAN_KEY, Service, ServicePlan, read_service_plan
 from ..crier.announcement import GONE, Announcement
 from ..crier.beat import READY
-from ..crier.news import News
+from ..crier.news import Heard, News
 from ..pitch.context import Context
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
@@ -26,16 +27,29 @@
 FENCE_KEY = "promotion.fence"
 PROBE_WAIT_US = 400_000
 PAUSE_WAIT_US = 500_000
-CLOSING_US = 300_000
+CLOSING_US = 250_000
+FOLLOW_US = 400_000
+# why: these say that the primary is there, so that it can be asked itself
+ALIVE = ("is emptying", "does not lead")
 POLL_US = 80_000
 PROMOTE_AGAIN_US = 500_000
 GIVE_UP_US = 5_000_000
+LOST_US = 1_200_000
 RETRY_US = 250_000
 FORGET_US = 25_000_000
 EXPECTED_US = 1_400_000
+Ask = Coroutine[Any, Any, Result[BackendState, Fault]]
 Opinions = Callable[[str], Awaitable[tuple[int, int]]]
 
 
+class Fenced(NamedTuple):
+    """The term under which nothing older is confirmed, who has the furthest log, and how far it reaches."""
+
+    term: int
+    best: str
+    position: Position
+
+
 class PromotionDuty(OwnerMixin):
     """Every step is a compare-and-set on the service's lead, so two holders at once do no harm.
 
@@ -68,6 +82,8 @@
         self.plan: ServicePlan | None = None
         self.leads: dict[str, ServiceLead] = {}
         self.lead_since_us: dict[str, int] = {}
+        self.stopped_us: dict[str, int] = {}
+        self.terms: dict[str, int] = {}
         self.tending: set[str] = set()
         self.suspects_us: dict[str, int] = {}
         self.not_before_us: dict[str, int] = {}
@@ -87,7 +103,11 @@
             self.plan = read_service_plan(data=found.value)
         elif key.startswith(PREFIX):
             service = key.removeprefix(PREFIX)
-            self.leads[service] = read_service_lead(data=found.value)
+            lead, before = read_service_lead(data=found.value), self.leads.get(service)
+            # why: from the first word on that is not settled, views that let anybody at the primary run out
+            if before is None or before.state == LeadState.settled:
+                self.stopped_us[service] = self.ctx.nowUs()
+            self.leads[service] = lead
             self.lead_since_us[service] = self.ctx.nowUs()
 
     def suspect(self, *, name: str) -> None:
@@ -135,11 +155,15 @@
 
     def _members(self, *, service: str) -> list[Announcement]:
         """Every backend of a service that may hold acknowledged commits, in the order of names."""
-        return [
-            heard.beat
-            for name, heard in sorted(self.news.best.items())
-            if heard.beat.service == service and heard.beat.state != GONE and self.news.ageUs(name=name) < FORGET_US
-        ]
+        at: dict[str, Heard[Announcement]] = {}
+        for name, heard in sorted(self.news.best.items()):
+            if heard.beat.service != service or heard.beat.state == GONE or self.news.ageUs(name=name) >= FORGET_US:
+                continue
+            # why: the log of a backend that was replaced has passed to the one that came to its address
+            other = at.get(heard.beat.address)
+            if other is None or heard.bornUs > other.bornUs:
+                at[heard.beat.address] = heard
+        return sorted((heard.beat for heard in at.values()), key=lambda beat: beat.name)
 
     def _member(self, *, name: str) -> Announcement | None:
         heard = self.news.latest(name=name)
@@ -187,10 +211,25 @@
             self.view.takeOwn(key=key, result=result)
         return result.is_ok()
 
-    async def _states(self, *, members: list[Announcement]) -> dict[str, BackendState]:
-        asks = [self.control.state(backend=each, wait_us=PROBE_WAIT_US) for each in members]
-        results = await asyncio.gather(*asks)
-        return {m.name: r.ok for m, r in zip(members, results, strict=True) if r.is_ok()}
+    async def _gather(
+        self, *, asks: dict[str, Ask], enough: Callable[[dict[str, BackendState]], bool]
+    ) -> dict[str, BackendState]:
+        """The answers by name, as soon as they are enough or all have come; those still asked are left to answer."""
+        pending = {self.ctx.spawn(work=ask, name=name) for name, ask in asks.items()}
+        answers: dict[str, BackendState] = {}
+        while pending and not enough(answers):
+            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            answers |= {task.get_name(): task.result().ok for task in done if task.result().is_ok()}
+        return answers
+
+    async def _states(
+        self,
+        *,
+        members: list[Announcement],
+        enough: Callable[[dict[str, BackendState]], bool] = lambda answers: False,
+    ) -> dict[str, BackendState]:
+        asks = {each.name: self.control.state(backend=each, wait_us=PROBE_WAIT_US) for each in members}
+        return await self._gather(asks=asks, enough=enough)
 
     async def _first(self, *, service: Service) -> None:
         """Nobody was ever written down: whoever leads by its own account is taken at its word."""
@@ -242,56 +281,100 @@
         return "is gone" if own.error.kind == Kind.wireUnsent else "is silent"
 
     async def _move(self, *, service: Service, lead: ServiceLead, reason: str) -> None:
+        self._say(service=service.name, reason=f"{lead.primary} {reason}")
+        self.not_before_us[service.name] = self.ctx.nowUs() + RETRY_US
         members = self._members(service=service.name)
         others = [each for each in members if each.name != lead.primary]
-        planned = reason == "is emptying"
-        if not any(each.state == READY for each in others):
-            self._say(service=service.name, reason=f"{lead.primary} {reason}, and no copy can take its place")
-            self.not_before_us[service.name] = self.ctx.nowUs() + RETRY_US
-            return
-        self._say(service=service.name, reason=f"{lead.primary} {reason}")
-        if planned and lead.state == LeadState.settled:
-            closing = replace(lead, state=LeadState.closing, ready_in_us=self.move_us, planned=True)
-            if not await self._put(service=service.name, old=lead, new=closing):
-                return
-            lead = closing
-            # why: what the primary was given already may end, and nothing more comes once the word is out
-            await self.ctx.rest(waitUs=CLOSING_US)
+        old = self._member(name=lead.primary)
         began_us = self.ctx.nowUs()
-        fenced = await self._fence(service=service, lead=lead, others=others)
+        fenced = None
+        if old is not None and old.state != GONE and reason in ALIVE:
+            stopped = await self._stop_primary(service=service, lead=lead, old=old, others=others)
+            if stopped is None:
+                return
+            lead, fenced = stopped
+        elif any(each.state == READY for each in others):
+            fenced = await self._fence(service=service, lead=lead, others=others)
+        else:
+            self._say(service=service.name, reason=f"{lead.primary} {reason}, and no copy can take its place")
         if fenced is None:
-            self.not_before_us[service.name] = self.ctx.nowUs() + RETRY_US
             return
-        term, states = fenced
-        ready = {each.name for each in others if each.state == READY}
-        best = max(sorted(states), key=lambda name: (states[name].received, name in ready))
+        term, best, fence = fenced
         moving = ServiceLead(
             term=term,
             primary=best,
             state=LeadState.moving,
-            fence=states[best].received,
+            fence=fence,
             ready_in_us=max(self.move_us, self.outwait_us) - (self.ctx.nowUs() - began_us),
-            planned=planned,
+            planned=lead.planned,
         )
         if await self._put(service=service.name, old=lead, new=moving):
             self.ctx.counters.add(name="promotion.moves")
             await self._finish(service=service, lead=moving)
 
-    async def _fence(
-        self, *, service: Service, lead: ServiceLead, others: list[Announcement]
-    ) -> tuple[int, dict[str, BackendState]] | None:
+    async def _stop_primary(
+        self, *, service: Service, lead: ServiceLead, old: Announcement, others: list[Announcement]
+    ) -> tuple[ServiceLead, Fenced] | None:
+        """Has a primary that is alive step down; it holds all that it ever acknowledged, and so does who has as much.
+
+        None: it goes on as it was, since nobody could take its place now.
+        """
+        ready = [each for each in others if each.state == READY]
+        # why: a copy that is silent must not hold up a move that another one can serve
+        states = await self._states(members=[old, *ready], enough=lambda got: old.name in got and len(got) > 1)
+        now = states.pop(old.name, None)
+        # why: where no copy is near, a stop would only be an outage
+        if now is None or not any(state.received.term >= now.received.term for state in states.values()):
+            self._say(service=service.name, reason=f"{lead.primary} is to leave, and no copy is there to follow it")
+            if lead.state == LeadState.closing:
+                await self._put(service=service.name, old=lead, new=replace(lead, state=LeadState.settled))
+            return None
+        if lead.state == LeadState.settled and now.leads:
+            closing = replace(lead, state=LeadState.closing, ready_in_us=self.move_us, planned=True)
+            if not await self._put(service=service.name, old=lead, new=closing):
+                return None
+            lead = closing
+            # why: what the primary was given already may end, and nothing more comes once the word is out
+            await self.ctx.rest(waitUs=CLOSING_US)
+        term = max([lead.term, now.term_held, *(state.term_held for state in states.values())]) + 1
+        stepped = await self.control.step_down(backend=old, term=term, wait_us=PAUSE_WAIT_US)
+        if stepped.is_error() or stepped.ok.leads:
+            self._say(service=service.name, reason=f"{lead.primary} does not step down")
+            if lead.state == LeadState.closing:
+                await self._put(service=service.name, old=lead, new=replace(lead, state=LeadState.settled))
+            return None
+        fence = stepped.ok.received
+        until_us = self.ctx.nowUs() + FOLLOW_US
+        while True:
+            states = await self._states(
+                members=ready, enough=lambda got: any(state.received >= fence for state in got.values())
+            )
+            # why: a primary that waits for its end is no place for a lead, but its log is the one that counts
+            full = {name: state for name, state in states.items() if state.received >= fence}
+            if full or self.ctx.nowUs() > until_us:
+                break
+            await self.ctx.rest(waitUs=POLL_US // 2)
+        best = max(sorted(full), key=lambda name: full[name].received) if full else lead.primary
+        return lead, Fenced(term=term, best=best, position=max(fence, full[best].received) if full else fence)
+
+    async def _fence(self, *, service: Service, lead: ServiceLead, others: list[Announcement]) -> Fenced | None:
         """Pauses copies until the old primary can have nothing confirmed; None where too few can be paused."""
-        term = lead.term + 1
+        term = max(lead.term, self.terms.get(service.name, 0)) + 1
         self.fenced.add(service.name)
-        asks = [self.control.pause(backend=each, term=term, wait_us=PAUSE_WAIT_US) for each in others]
-        results = await asyncio.gather(*asks)
-        states = {m.name: r.ok for m, r in zip(others, results, strict=True) if r.is_ok()}
-        held = {name: state for name, state in states.items() if state.term_held == term}
         # why: each acknowledged commit stands at as many copies as confirm; all sets of these meet the paused ones
         needed = max(1, len(others) - service.confirmations + 1) if service.confirmations else 1
+        asks = {each.name: self.control.pause(backend=each, term=term, wait_us=PAUSE_WAIT_US) for each in others}
+        states = await self._gather(
+            asks=asks, enough=lambda got: sum(state.term_held == term for state in got.values()) >= needed
+        )
+        held = {name: state for name, state in states.items() if state.term_held == term}
         if len(held) >= needed:
-            return term, held
+            ready = {each.name for each in others if each.state == READY}
+            best = max(sorted(held), key=lambda name: (held[name].received, name in ready))
+            return Fenced(term=term, best=best, position=held[best].received)
         higher = [state.term_held for state in states.values() if state.term_held > term]
+        # why: a copy that refuses may have promised a later term to a holder that is gone
+        self.terms[service.name] = max([term, *higher])
         self._say(
             service=service.name,
             reason=f"{lead.primary} can't be fenced: {len(held)} of {needed} copies paused"
@@ -303,6 +386,7 @@
         """From moving to settled: promote, see it lead, and outwait every older view."""
         since_us = self.lead_since_us[service.name]
         asked_us = -PROMOTE_AGAIN_US
+        reached_us = self.ctx.nowUs()
         taken = False
         while True:
             if not self.lease.held:
@@ -323,11 +407,14 @@
             state = None if member is None else await self.control.state(backend=member, wait_us=PROBE_WAIT_US)
             if state is not None and state.is_ok() and state.ok.leads:
                 break
-            if self.ctx.nowUs() - since_us > GIVE_UP_US:
+            if state is not None and (state.is_ok() or state.error.kind != Kind.wireUnsent):
+                reached_us = self.ctx.nowUs()
+            lost = self.ctx.nowUs() - reached_us > LOST_US or (member is not None and member.state == GONE)
+            if lost or self.ctx.nowUs() - since_us > GIVE_UP_US:
                 await self._supersede(service=service, lead=lead)
                 return
             await self.ctx.rest(waitUs=POLL_US)
-        wait_us = since_us + self.outwait_us - self.ctx.nowUs()
+        wait_us = self.stopped_us[service.name] + self.outwait_us - self.ctx.nowUs()
         if wait_us > 0:
             await self.ctx.rest(waitUs=wait_us)
         settled = ServiceLead(term=state.ok.term, primary=lead.primary, state=LeadState.settled)
