Plans travel deflated, reads ask a majority, and nothing is sent into silence or held without hope

Ruled out: deltas of configurations (more state for what deflating brings); a longer lease. Conclusion: a reader of a key that is just being written waits a moment instead of completing it; a primary that owes answers and gives none gets nothing new until it answers a new link.

--- a/src/cinderstair/booth/link_pool.py
+++ b/src/cinderstair/booth/link_pool.py
@@ -48,6 +48,7 @@
         self.heard_us = 0
         self.hold_us = 20_000
         self.trouble = False
+        self.silent = False
 
     @property
     def open(self) -> int:
@@ -60,7 +61,7 @@
     def heard(self) -> None:
         """An answer came, so the backend is there."""
         self.heard_us = self.ctx.nowUs()
-        self.trouble = False
+        self.trouble = self.silent = False
         self.failures = 0
 
     def blame(self) -> None:
@@ -76,6 +77,14 @@
         # why: a link may rest for long in a client's transaction; only what is owed counts
         if unheard_us > SILENT_US and any(link.owed_us > SILENT_US for link, _ in self.taken.values()):
             self.blame()
+            self.silent = True
+            # why: what lies idle is as dead as what is waited for, and the next to ask must not learn it by waiting
+            idle, self.idle = self.idle, []
+            for link in idle:
+                link.close()
+        if self.silent and not self.dialing and self.ctx.nowUs() >= self.dial_from_us and not self.closed:
+            self.dialing += 1
+            self.ctx.spawn(work=self._dial(), name="link.probe")
 
     def _pick(self, *, values: dict[bytes, bytes]) -> Link | None:
         self.idle = [link for link in self.idle if link.open]
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -7,6 +7,7 @@
 from ..charter.service_plan import DatabaseRoute
 from ..crier.announcement import GONE
 from ..crier.beat import READY
+from ..pitch.answers import ANSWERS
 from ..pitch.context import Context
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
@@ -16,7 +17,7 @@
 from .freshness import Freshness
 from .link import Dialer
 from .link_pool import LinkPool
-from .relayed_view import RelayedView
+from .relayed_view import LEASE_US, RelayedView
 from .reply import Reply
 
 # why: the source's typical subset is 20 to 100; shorter lists are taken whole
@@ -27,6 +28,8 @@
 PRIMARY_READS = 3
 WANTED_FOR_US = 4_000_000
 LEAVE_US = 5_000_000
+LAPSE_US = 300_000
+SILENT_LEFT_US = 1_000_000
 MOST_ALIASES = 4_096
 
 
@@ -186,7 +189,11 @@
         if lead is None:
             return Error(Fault(kind=Kind.noLead, why=f"{service}: nobody leads yet"))
         if not self.view.current:
-            return Error(Fault(kind=Kind.notCurrent, why="out of touch with the register"))
+            lapsed_us = self.ctx.nowUs() - self.view.as_of_us - LEASE_US
+            # why: a question or two may be lost; who is out of touch for longer can't say when that will end
+            left_us = LAPSE_US if lapsed_us < LAPSE_US else ANSWERS[Kind.notCurrent].retryAfterUs * 2
+            details = {"left_us": left_us}
+            return Error(Fault(kind=Kind.notCurrent, why="out of touch with the register", details=details))
         if lead.state != LeadState.settled:
             left_us = self.view.lead_since_us[service] + lead.ready_in_us - self.ctx.nowUs()
             details = {"left_us": max(50_000, left_us)}
@@ -194,6 +201,10 @@
         pool = self.pools.get(lead.primary)
         if pool is None or pool.closed:
             return Error(Fault(kind=Kind.noLead, why=f"{service}: {lead.primary} is not there"))
+        if pool.silent:
+            # why: what is sent into silence may have been run for all that anybody can say, and is lost to its client
+            details = {"left_us": SILENT_LEFT_US}
+            return Error(Fault(kind=Kind.noBackend, why=f"{service}: {lead.primary} is silent", details=details))
         return Ok(pool)
 
     async def primary(self, *, service: str, until_us: int) -> Result[LinkPool, Fault]:
--- a/src/cinderstair/charter/service_plan.py
+++ b/src/cinderstair/charter/service_plan.py
@@ -1,5 +1,6 @@
 """A configuration by service: which database names lead to which service, and under which promises."""
 
+import zlib
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -7,6 +8,7 @@
 from ..pitch.unpacker import Unpacker
 
 PLAN_KEY = "plan"
+MOST_BYTES = 32 * 1024 * 1024
 
 
 class Consistency(IntEnum):
@@ -60,10 +62,12 @@
     document: bytes = b""
 
     def bytes(self, *, with_document: bool = True) -> bytes:
-        packer = Packer().u64(value=self.version).u64(value=self.rest_limit_us)
+        packer = Packer().u64(value=self.rest_limit_us)
         packer.many(values=self.routes.values(), each=lambda p, r: r.write(packer=p))
         packer.many(values=self.services.values(), each=lambda p, s: s.write(packer=p))
-        return packer.blob(value=self.document if with_document else b"").bytes()
+        body = packer.blob(value=self.document if with_document else b"").bytes()
+        # why: a plan goes whole to every vault, and routes are much alike
+        return Packer().u64(value=self.version).bytes() + zlib.compress(body)
 
 
 def _read_route(unpacker: Unpacker) -> DatabaseRoute:
@@ -81,10 +85,23 @@
     return Service(name=unpacker.text(), link_cap=unpacker.u32(), confirmations=unpacker.u32())
 
 
+def _inflated(*, data: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    try:
+        body = inflater.decompress(data, MOST_BYTES)
+    except zlib.error as error:
+        raise ValueError("no plan") from error
+    # why: a few bytes may swell to gigabytes, and what is cut short or followed by more is no plan of ours
+    if not inflater.eof or inflater.unused_data:
+        raise ValueError("no plan")
+    return body
+
+
 def read_service_plan(*, data: bytes) -> ServicePlan:
     """Raises ValueError where the bytes are no plan."""
-    unpacker = Unpacker(data=data)
-    version, rest_limit_us = unpacker.u64(), unpacker.u64()
+    version = plan_version(data=data)
+    unpacker = Unpacker(data=_inflated(data=data[8:]))
+    rest_limit_us = unpacker.u64()
     routes = unpacker.many(each=_read_route)
     services = unpacker.many(each=_read_service)
     document = unpacker.blob()
--- a/src/cinderstair/vault/register.py
+++ b/src/cinderstair/vault/register.py
@@ -19,6 +19,8 @@
 ASK_WAIT_US = 700_000
 HEDGE_US = 150_000
 ROUNDS = 8
+READS = 4
+SETTLE_US = 60_000
 Decide = Callable[[bytes], Result[bytes, Fault]]
 
 
@@ -207,29 +209,35 @@
             return Error(decision.error)
         return Ok(Found(ballot=ballot, value=value))
 
-    async def _votes(self, *, roster: Roster, body: bytes, status: int) -> list[Vote]:
+    async def _votes(self, *, roster: Roster, body: bytes, status: int, first: int = 0) -> list[Vote]:
         def enough(answers: list[bytes]) -> bool:
             good = sum(answer[0] == status for answer in answers)
             bad = len(answers) - good
             return good >= roster.majority or bad > len(roster.voters) - roster.majority
 
-        answers = await self.poll(roster=roster, body=body, enough=enough)
+        answers = await self.poll(roster=roster, body=body, enough=enough, first=first)
         return [readVote(data=answer) for answer in answers]
 
     async def read(self, *, key: str) -> Result[Found, Fault]:
         """The key's value as a majority holds it; one found on fewer is completed first."""
-        for _ in range(3):
+        for turn in range(READS):
             if self.roster is None and not await self.findRoster():
                 continue
             roster = self.roster
             assert roster is not None
             body = Packer().u8(value=READ).u32(value=roster.epoch).text(value=key).bytes()
-            votes = await self._votes(roster=roster, body=body, status=OK)
+            # why: each answer brings the whole value, and the others are asked as soon as one is late
+            votes = await self._votes(roster=roster, body=body, status=OK, first=roster.majority)
             granted = [vote for vote in votes if vote.status == OK]
             if len(granted) >= roster.majority:
                 newest = max(granted, key=lambda vote: vote.accepted)
                 if sum(vote.accepted == newest.accepted for vote in granted) >= roster.majority:
                     return Ok(Found(ballot=newest.accepted, value=newest.value))
+                # why: most often its writer is just finishing; many readers that completed it for it would only
+                # beat one another's ballots, each with the whole value
+                if turn + 2 < READS:
+                    await self.ctx.rest(waitUs=self.ctx.luck.randrange(SETTLE_US // 2, SETTLE_US))
+                    continue
             completed = await self.change(key=key, decide=Ok)
             if completed.is_ok():
                 return completed
