A booth that has just begun lets requests wait for its first word, later ones are refused at once

Cause: refused at once while out of touch, also in the first second after a start, when the word is about to come. Conclusion: hope is what is known to be near.

--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -29,6 +29,7 @@
 WANTED_FOR_US = 4_000_000
 LEAVE_US = 5_000_000
 LAPSE_US = 300_000
+BEGIN_US = 3_000_000
 SILENT_LEFT_US = 1_000_000
 MOST_ALIASES = 4_096
 
@@ -41,6 +42,7 @@
         self.view = view
         self.dialer = dialer
         self.distance = distance
+        self.began_us = ctx.nowUs()
         self.pools: dict[str, LinkPool] = {}
         self.fresh: dict[str, Freshness] = {}
         self.shares: dict[str, tuple[str, ...]] = {}
@@ -187,11 +189,15 @@
         """The primary's pool, while the view says surely that it leads."""
         lead = self.view.leads.get(service)
         if lead is None:
-            return Error(Fault(kind=Kind.noLead, why=f"{service}: nobody leads yet"))
+            details = {"left_us": LAPSE_US}
+            return Error(Fault(kind=Kind.noLead, why=f"{service}: nobody leads yet", details=details))
         if not self.view.current:
             lapsed_us = self.ctx.nowUs() - self.view.as_of_us - LEASE_US
             # why: a question or two may be lost; who is out of touch for longer can't say when that will end
-            left_us = LAPSE_US if lapsed_us < LAPSE_US else ANSWERS[Kind.notCurrent].retryAfterUs * 2
+            # why: a booth that has just begun is about to hear
+            begins = self.ctx.nowUs() - self.began_us < BEGIN_US
+            hopes = begins or lapsed_us < LAPSE_US
+            left_us = LAPSE_US if hopes else ANSWERS[Kind.notCurrent].retryAfterUs * 2
             details = {"left_us": left_us}
             return Error(Fault(kind=Kind.notCurrent, why="out of touch with the register", details=details))
         if lead.state != LeadState.settled:
--- a/src/cinderstair/booth/session.py
+++ b/src/cinderstair/booth/session.py
@@ -228,20 +228,19 @@
         try:
             while True:
                 now_us = self.ctx.nowUs()
-                if not under_way or failures >= 0:
-                    places, none = self._places(route=route, arrived_us=arrived_us)
-                    if places and len(under_way) < 2 and failures < 2 * TRIES:
-                        place = self._untried(places=places, tried=tried)
-                        work = self._read_at(statement=statement, route=route, place=place, until_us=until_us)
-                        under_way.add(self.ctx.spawn(work=work, name="read"))
-                    elif not under_way:
-                        fault = fault or none or Fault(kind=Kind.noBackend, why="no backend to read from")
-                        left_us = int(fault.details.get("left_us", 50_000))
-                        if failures >= 2 * TRIES or now_us + left_us >= until_us:
-                            return refused or self._refused(fault=fault)
-                        await self.router.view.change(until_us=until_us)
-                        fault = None
-                        continue
+                places, none = self._places(route=route, arrived_us=arrived_us)
+                if places and len(under_way) < 2 and failures < 2 * TRIES:
+                    place = self._untried(places=places, tried=tried)
+                    work = self._read_at(statement=statement, route=route, place=place, until_us=until_us)
+                    under_way.add(self.ctx.spawn(work=work, name="read"))
+                elif not under_way:
+                    fault = fault or none or Fault(kind=Kind.noBackend, why="no backend to read from")
+                    left_us = int(fault.details.get("left_us", 50_000))
+                    if failures >= 2 * TRIES or now_us + left_us >= until_us:
+                        return refused or self._refused(fault=fault)
+                    await self.router.view.change(until_us=until_us)
+                    fault = None
+                    continue
                 wait_us = min(until_us - now_us, HEDGE_US if len(under_way) < 2 else until_us - now_us)
                 done, under_way = await asyncio.wait(
                     under_way, timeout=max(0, wait_us) / 1_000_000, return_when=asyncio.FIRST_COMPLETED
