A shard map that booths agree on and take over together; its duty, state and votes

Ruled out: the operator's plan as the map (it binds at once, one booth after the other); a vote without closing. Before: a database's place was the plan's word alone. Conclusion: proposed, closing, steady, each a compare-and-set; a booth that has not heard can't write.

--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -30,8 +30,8 @@
     ) -> None:
         self.ctx = ctx
         self.view = RelayedView(ctx=ctx, site=site, seeds=seeds)
-        self.router = Router(ctx=ctx, view=self.view, dialer=dialer, distance=distance)
         self.sessions: set[Session] = set()
+        self.router = Router(ctx=ctx, view=self.view, dialer=dialer, distance=distance, busy=self._busy)
         self.draining = False
         self.told_ready = False
 
@@ -44,6 +44,10 @@
         await self.view.choose()
         await self.view.keep()
 
+    def _busy(self, databases: frozenset[str]) -> bool:
+        """Whether anything may still be written at these databases' old places."""
+        return any(session.writing for session in self.sessions if session.database in databases)
+
     @property
     def ready(self) -> bool:
         """Whether new clients should come here."""
--- a/src/cinderstair/booth/relayed_view.py
+++ b/src/cinderstair/booth/relayed_view.py
@@ -20,6 +20,7 @@
 from ..pitch.kind import Kind
 from ..pitch.packer import Packer
 from ..steward.service_lead import PREFIX, LeadState, ServiceLead, read_service_lead
+from ..steward.shard_state import SHARDS_KEY, ShardPhase, ShardState, Vote, read_shard_state
 from ..steward.slots import SLOTS_KEY, Slots, readSlots
 from ..vault.ballot import Ballot
 
@@ -45,6 +46,8 @@
         self.ballots: dict[str, Ballot] = {}
         self.plan: ServicePlan | None = None
         self.slots = Slots()
+        self.shards = ShardState()
+        self.vote: Callable[[], tuple[int, Vote]] = lambda: (0, Vote.silent)
         self.leads: dict[str, ServiceLead] = {}
         self.lead_since_us: dict[str, int] = {}
         self.backends: dict[str, RelayedBackend] = {}
@@ -67,6 +70,7 @@
         while True:
             pulled = await self.pull()
             moving = any(lead.state != LeadState.settled for lead in self.leads.values())
+            moving = moving or self.shards.phase != ShardPhase.steady
             wait_us = HASTE_EVERY_US if moving or not pulled else PULL_EVERY_US
             try:
                 async with asyncio.timeout(wait_us / 1_000_000):
@@ -97,12 +101,15 @@
                     return
 
     def _question(self, *, whole: bool) -> RelayQuestion:
+        version, vote = self.vote()
         return RelayQuestion(
             booth=self.ctx.name,
             site=self.site,
             source=0 if whole else self.source,
             edition=0 if whole else self.edition,
             troubled=self.troubled(),
+            version=version,
+            vote=vote,
         )
 
     async def _ask(self, *, address: str, question: RelayQuestion) -> Result[tuple[int, RelayAnswer], Fault]:
@@ -180,6 +187,8 @@
                 self.ctx.log.info("configuration %d in force", plan.version)
         elif key == SLOTS_KEY:
             self.slots = readSlots(data=value)
+        elif key == SHARDS_KEY:
+            self.shards = read_shard_state(data=value)
         elif key.startswith(PREFIX):
             lead = read_service_lead(data=value)
             service = key.removeprefix(PREFIX)
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -1,6 +1,7 @@
 """Picks the backend for a statement: the primary, or a copy of the booth's share that is fresh enough."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from expression import Error, Ok, Result
 
@@ -19,6 +20,7 @@
 from .link_pool import LinkPool
 from .relayed_view import LEASE_US, RelayedView
 from .reply import Reply
+from .shards import Shards
 
 # why: the source's typical subset is 20 to 100; shorter lists are taken whole
 SUBSET_SIZE = 20
@@ -37,7 +39,15 @@
 class Router:
     """Owns the pools. Everything is reckoned from the view, by this booth alone."""
 
-    def __init__(self, *, ctx: Context, view: RelayedView, dialer: Dialer, distance: Callable[[str], int]) -> None:
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        view: RelayedView,
+        dialer: Dialer,
+        distance: Callable[[str], int],
+        busy: Callable[[frozenset[str]], bool] = lambda databases: False,
+    ) -> None:
         self.ctx = ctx
         self.view = view
         self.dialer = dialer
@@ -48,6 +58,7 @@
         self.shares: dict[str, tuple[str, ...]] = {}
         self.leaving_us: dict[str, int] = {}
         self.aliases: dict[tuple[bytes, bool], int] = {}
+        self.shards = Shards(ctx=ctx, view=view, busy=busy)
         view.troubled = self.troubled
         view.changes.subscribe(self._changed)
 
@@ -121,8 +132,18 @@
         if not pool.closed and (not leads or self.ctx.nowUs() - since_us > LEAVE_US):
             pool.shut()
 
+    def route(self, *, database: str) -> DatabaseRoute | None:
+        """Where a database's statements go now: the plan's word, or the shard map's where it differs."""
+        plan = self.view.plan
+        route = None if plan is None else plan.routes.get(database)
+        if route is None:
+            return None
+        place = self.shards.place(route=route)
+        return route if place == route.service else replace(route, service=place)
+
     def tend(self) -> None:
         """Now and then: links that should stand ready, silent backends, samples that will be wanted."""
+        self.shards.look()
         plan = self.view.plan
         if plan is None:
             return
@@ -249,7 +270,10 @@
         """The position that a copy must have for this read."""
         fresh = self.freshness(service=route.service)
         fresh.wanted_us = self.ctx.nowUs()
-        needed = fresh.needed(since_us=arrived_us - route.max_age_us + AGE_MARGIN_US)
+        since_us = self.shards.read_since_us(
+            database=route.database, since_us=arrived_us - route.max_age_us + AGE_MARGIN_US
+        )
+        needed = None if since_us is None else fresh.needed(since_us=since_us)
         if needed is None:
             return Error(Fault(kind=Kind.tooStale, why="nobody has asked the primary lately"))
         return Ok(needed if own is None else max(needed, own))
--- a/src/cinderstair/booth/session.py
+++ b/src/cinderstair/booth/session.py
@@ -49,13 +49,20 @@
         self.values: dict[bytes, bytes] = {}
         self.shapes: dict[bytes, tuple[bytes, bool]] = {}
         self.state = State.idle
-        self.own: Position | None = None
+        # why: a position says nothing of another service's log
+        self.own: tuple[str, Position] | None = None
+        self.single_write = False
         self.transaction: Transaction | None = None
         self.busy = False
 
     def route(self) -> DatabaseRoute | None:
-        plan = self.router.view.plan
-        return None if plan is None else plan.routes.get(self.database)
+        return self.router.route(database=self.database)
+
+    @property
+    def writing(self) -> bool:
+        """Whether anything of this session may still be written at the database's place."""
+        open_ = self.transaction is not None and not self.transaction.read_only
+        return open_ or self.single_write
 
     async def run(self, *, statement: Statement) -> Reply:
         """The answer to one statement. Its state is the session's from then on."""
@@ -141,7 +148,11 @@
         arrived_us = self.ctx.nowUs()
         until_us = arrived_us + route.time_limit_us - ANSWER_US
         if self._writes(statement=statement):
-            return await self._write(statement=statement, route=route, until_us=until_us)
+            self.single_write = True
+            try:
+                return await self._write(statement=statement, route=route, until_us=until_us)
+            finally:
+                self.single_write = False
         return await self._read(statement=statement, route=route, arrived_us=arrived_us, until_us=until_us)
 
     def _refused(self, *, fault: Fault) -> Reply:
@@ -152,6 +163,10 @@
     async def _write(self, *, statement: Statement, route: DatabaseRoute, until_us: int) -> Reply:
         fault = Fault(kind=Kind.noBackend, why="not tried")
         for number in range(TRIES):
+            route = await self._placed(route=route, until_us=until_us)
+            moving = self.router.shards.fault(database=route.database)
+            if moving is not None:
+                return self._refused(fault=moving)
             led = await self.router.primary(service=route.service, until_us=until_us)
             if led.is_error():
                 return self._refused(fault=led.error)
@@ -165,7 +180,7 @@
                 continue
             link = taken.ok
             # why: the lead may have moved while a link was waited for, and a write must not reach the old one
-            if self.router.may_lead(service=route.service) != led:
+            if self.router.may_lead(service=route.service) != led or not self._still(route=route):
                 pool.release(link=link)
                 continue
             asked_us = self.ctx.nowUs()
@@ -185,7 +200,7 @@
             self.router.heard(pool=pool, service=route.service, asked_us=asked_us, reply=reply)
             if not reply.not_run:
                 if reply.fault is None and reply.position is not None:
-                    self.own = reply.position
+                    self.own = (route.service, reply.position)
                 return self._idle(reply=reply)
             fault = Fault(kind=Kind.crowded, why="the backend did not run it")
             if number + 1 < TRIES and self.ctx.nowUs() + PAUSE_US < until_us:
@@ -195,6 +210,22 @@
             return self._idle(reply=reply)
         return self._refused(fault=fault)
 
+    async def _placed(self, *, route: DatabaseRoute, until_us: int) -> DatabaseRoute:
+        """The route as it is once a change of its place is over, where that is expected in time."""
+        while True:
+            moving = self.router.shards.fault(database=route.database)
+            left_us = 0 if moving is None else int(moving.details["left_us"])
+            if moving is None or self.ctx.nowUs() + left_us >= until_us:
+                return self.route() or route
+            await self.router.view.change(until_us=until_us)
+
+    def _still(self, *, route: DatabaseRoute) -> bool:
+        """Whether this is the database's place yet, and takes everything; asked right before a statement leaves."""
+        now = self.route()
+        return (
+            now is not None and now.service == route.service and not self.router.shards.fault(database=self.database)
+        )
+
     def _idle(self, *, reply: Reply) -> Reply:
         # why: a single statement that fails leaves no transaction behind, whatever a backend calls its state
         reply.state = State.idle
@@ -209,12 +240,16 @@
     ) -> tuple[list[tuple[LinkPool, Position | None]], Fault | None]:
         """Where a read may go, best first, each with the position that its log must have."""
         if route.consistency != Consistency.primary:
-            own = self.own if route.consistency == Consistency.session else None
+            own = self.own[1] if self.own is not None and self.own[0] == route.service else None
+            own = own if route.consistency == Consistency.session else None
             guard = self.router.guard(route=route, arrived_us=arrived_us, own=own)
             if guard.is_ok():
                 readers = self.router.readers(service=route.service)
                 if readers:
                     return [(pool, guard.ok) for pool in readers], None
+        moving = self.router.shards.fault(database=route.database)
+        if moving is not None:
+            return [], moving
         led = self.router.may_lead(service=route.service)
         return ([(led.ok, None)], None) if led.is_ok() else ([], led.error)
 
@@ -228,6 +263,7 @@
         try:
             while True:
                 now_us = self.ctx.nowUs()
+                route = self.route() or route
                 places, none = self._places(route=route, arrived_us=arrived_us)
                 if places and len(under_way) < 2 and failures < 2 * TRIES:
                     place = self._untried(places=places, tried=tried)
@@ -289,7 +325,7 @@
         led = self.router.may_lead(service=route.service)
         leads = led.is_ok() and led.ok is pool
         # why: without a guard only the surely leading primary will do, and that may have changed meanwhile
-        if at_least is None and not leads:
+        if at_least is None and not (leads and self._still(route=route)):
             pool.release(link=link)
             return Fault(kind=Kind.noLead, why="the lead moved meanwhile")
         asked_us = self.ctx.nowUs()
@@ -333,8 +369,11 @@
             if self.ctx.nowUs() >= until_us:
                 break
             places: list[tuple[LinkPool, Position | None]]
+            route = transaction.route = self.route() or route
             if transaction.read_only:
                 places, none = self._places(route=route, arrived_us=transaction.arrived_us)
+            elif none := self.router.shards.fault(database=route.database):
+                places = []
             else:
                 led = self.router.may_lead(service=route.service)
                 places = [(led.ok, None)] if led.is_ok() else []
@@ -367,7 +406,7 @@
         link = taken.ok
         led = self.router.may_lead(service=route.service)
         leads = led.is_ok() and led.ok is pool
-        if at_least is None and not leads:
+        if at_least is None and not (leads and self._still(route=route)):
             pool.release(link=link)
             return Error(Fault(kind=Kind.noLead, why="the lead moved meanwhile"))
         asked_us = self.ctx.nowUs()
@@ -433,7 +472,8 @@
         # why: a transaction whose commit was never sent is kept nowhere once its link is closed
         lost = Kind.outcomeUnknown if commits else Kind.transactionLost
         state = State.idle if commits else State.failed
-        if not link.open:
+        moved = not transaction.read_only and not self._may_end(transaction=transaction)
+        if not link.open or moved:
             self._forsake(transaction=transaction)
             return refusal(kind=Kind.transactionLost, state=state)
         transaction.used = True
@@ -455,6 +495,10 @@
         transaction.wrote |= reply.fault is None and self._writes(statement=statement)
         return reply
 
+    def _may_end(self, *, transaction: Transaction) -> bool:
+        """Whether its place still takes it: not where a shard map has moved on under it."""
+        return self.router.shards.may_end(database=self.database, since_us=transaction.arrived_us)
+
     async def _end(self, *, statement: Statement) -> Reply:
         transaction = self.transaction
         if transaction is None:
@@ -485,7 +529,7 @@
             return reply
         self._give_back(transaction=transaction, keep=True)
         if reply.fault is None and transaction.wrote and reply.position is not None:
-            self.own = reply.position
+            self.own = (transaction.route.service, reply.position)
         return reply
 
     def _give_back(self, *, transaction: Transaction, keep: bool) -> None:
--- a/src/cinderstair/crier/relay_record.py
+++ b/src/cinderstair/crier/relay_record.py
@@ -4,23 +4,30 @@
 
 from ..pitch.packer import Packer
 from ..pitch.unpacker import Unpacker
+from ..steward.shard_state import Vote
 from ..vault.ballot import Ballot, readBallot
 from .announcement import Announcement, read_announcement
 
 
 @dataclass(frozen=True, kw_only=True)
 class RelayQuestion:
-    """`source` and `edition` say what the asker has; a source of 0 asks for everything."""
+    """`source` and `edition` say what the asker has; a source of 0 asks for everything.
+
+    `vote` is what the booth says of the shard map of that version.
+    """
 
     booth: str
     site: str
     source: int = 0
     edition: int = 0
     troubled: tuple[str, ...] = ()
+    version: int = 0
+    vote: Vote = Vote.silent
 
     def write(self, *, packer: Packer) -> Packer:
         packer.text(value=self.booth).text(value=self.site).u64(value=self.source).u64(value=self.edition)
-        return packer.many(values=self.troubled, each=lambda p, name: p.text(value=name))
+        packer.many(values=self.troubled, each=lambda p, name: p.text(value=name))
+        return packer.u64(value=self.version).u8(value=self.vote)
 
 
 def read_relay_question(*, unpacker: Unpacker) -> RelayQuestion:
@@ -30,6 +37,8 @@
         source=unpacker.u64(),
         edition=unpacker.u64(),
         troubled=tuple(unpacker.many(each=lambda u: u.text())),
+        version=unpacker.u64(),
+        vote=Vote(unpacker.u8()),
     )
     unpacker.done()
     return question
--- /dev/null
+++ b/src/cinderstair/guildhall/booth_census.py
@@ -0,0 +1,76 @@
+"""Which booths are there, when each was last seen by any guildhall, and what it says of the next shard map."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..pitch.context import Context
+from ..pitch.desk import Desk
+from ..pitch.desks import BOOTHS
+from ..pitch.packer import Packer
+from ..pitch.unpacker import Unpacker
+from ..steward.shard_state import Vote
+from .relay import Relay
+
+WITHIN_US = 30_000_000
+ASK_WAIT_US = 500_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class Seen:
+    """`version` is the map that the vote is about."""
+
+    at_us: int
+    version: int
+    vote: Vote
+
+
+class BoothCensus:
+    """Each guildhall knows the booths that ask it; whoever holds a duty asks the others for theirs."""
+
+    def __init__(self, *, ctx: Context, desk: Desk, relay: Relay, neighbours: Callable[[], list[str]]) -> None:
+        self.ctx = ctx
+        self.relay = relay
+        self.neighbours = neighbours
+        self.booths: dict[str, Seen] = {}
+        self.asked_us = -WITHIN_US
+        desk.open(kind=BOOTHS, answer=self._asked)
+
+    async def _asked(self, unpacker: Unpacker) -> bytes:
+        unpacker.done()
+
+        def write(packer: Packer, entry: tuple[str, int, int, Vote]) -> None:
+            packer.text(value=entry[0]).u64(value=entry[1]).u64(value=entry[2]).u8(value=entry[3])
+
+        return Packer().many(values=self.relay.seen(within_us=WITHIN_US), each=write).bytes()
+
+    def _take(self, *, name: str, seen: Seen) -> None:
+        known = self.booths.get(name)
+        if known is None or seen.at_us > known.at_us:
+            self.booths[name] = seen
+
+    async def gather(self, *, every_us: int) -> dict[str, Seen]:
+        """What is known of all booths; the other guildhalls are asked no more often than given."""
+        now_us = self.ctx.nowUs()
+        for name, age_us, version, vote in self.relay.seen(within_us=WITHIN_US):
+            self._take(name=name, seen=Seen(at_us=now_us - age_us, version=version, vote=vote))
+        if now_us - self.asked_us >= every_us:
+            self.asked_us = now_us
+            await self._ask(now_us=now_us)
+        self.booths = {name: seen for name, seen in self.booths.items() if now_us - seen.at_us < 2 * WITHIN_US}
+        return self.booths
+
+    async def _ask(self, *, now_us: int) -> None:
+        body = Packer().u8(value=BOOTHS).bytes()
+        asks = [self.ctx.parley.ask(address=address, body=body, waitUs=ASK_WAIT_US) for address in self.neighbours()]
+        for result in await asyncio.gather(*asks):
+            if result.is_error():
+                continue
+            try:
+                entries = Unpacker(data=result.ok).many(each=lambda u: (u.text(), u.u64(), u.u64(), Vote(u.u8())))
+            except ValueError:
+                self.ctx.counters.add(name="records.malformed")
+                continue
+            for name, age_us, version, vote in entries:
+                # why: the answer may have lain anywhere since the asking, so its age counts from there
+                self._take(name=name, seen=Seen(at_us=now_us - age_us, version=version, vote=vote))
--- a/src/cinderstair/guildhall/guildhall.py
+++ b/src/cinderstair/guildhall/guildhall.py
@@ -6,10 +6,11 @@
 from expression import Error, Ok, Result
 
 from ..charter.service_plan import PLAN_KEY, ServicePlan, plan_version, read_service_plan
+from ..charter.shard_map import check_shard_map
 from ..crier.announcement import Announcement, read_announcement
 from ..crier.news import News
 from ..pitch.context import Context
-from ..pitch.desks import OPINION, SUSPECT
+from ..pitch.desks import OPINION, SHARDS, SUSPECT
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
 from ..pitch.packer import Packer
@@ -17,9 +18,12 @@
 from ..pitch.unpacker import Unpacker
 from ..steward.backend_control import BackendControl, Promoter
 from ..steward.promotion_duty import PROBE_WAIT_US, PromotionDuty
+from ..steward.shard_duty import Ballots, Handover, ShardDuty
+from ..steward.shard_state import SHARDS_KEY, ShardPhase, ShardState, read_shard_state
 from ..vault.register import Found
 from ..vault.register_view import RegisterView
 from ..vault.vault import Vault
+from .booth_census import BoothCensus
 from .relay import Relay
 from .slot_keeper import SlotKeeper
 
@@ -29,6 +33,14 @@
 TELL_WAIT_US = 400_000
 TROUBLE_EVERY_US = 250_000
 SUBMIT_TRIES = 4
+CENSUS_EVERY_US = 200_000
+
+
+def describe(*, state: ShardState) -> str:
+    """The shard map as an operator reads it."""
+    places = ", ".join(f"{database} at {service}" for database, service in sorted(state.current.places.items()))
+    words = f"map {state.current.version}: {places or 'all as planned'}"
+    return words if state.phase == ShardPhase.steady else f"{words}; {state.phase.name}: {state.following.version}"
 
 
 class Guildhall:
@@ -44,6 +56,7 @@
         halt: Callable[[str], None],
         quiet_us: int,
         booth_lease_us: int,
+        handover: Handover | None = None,
     ) -> None:
         self.ctx = ctx
         self.settings = settings
@@ -52,6 +65,7 @@
         self.vault = Vault(ctx=ctx, settings=settings, halt=halt)
         self.quiet_us = quiet_us
         self.booth_lease_us = booth_lease_us
+        self.handover = handover
         self.troubled_us: dict[str, int] = {}
 
     async def start(self) -> Result[None, Fault]:
@@ -89,16 +103,20 @@
             opinions=self._opinions,
             lease_us=self.booth_lease_us,
         )
-        self.slots = SlotKeeper(
+        self.census = BoothCensus(ctx=ctx, desk=vault.desk, relay=self.relay, neighbours=self._neighbours)
+        self.slots = SlotKeeper(ctx=ctx, register=vault.register, view=self.view, census=self.census)
+        self.shards = ShardDuty(
             ctx=ctx,
-            desk=vault.desk,
             register=vault.register,
             view=self.view,
-            relay=self.relay,
-            neighbours=self._neighbours,
+            census=self._census,
+            planned=self._planned,
+            handover=self.handover,
+            lease_us=self.booth_lease_us,
         )
         self.view.post(command=self.view.pull, once="view")
         self.news.begin()
+        vault.desk.open(kind=SHARDS, answer=self._shards_asked)
         vault.desk.open(kind=SUSPECT, answer=self._suspected)
         vault.desk.open(kind=OPINION, answer=self._opinion)
         return Ok(None)
@@ -116,6 +134,14 @@
         addresses = dict.fromkeys((*self._guildhalls(), *voters))
         return [address for address in addresses if address != self.settings.records]
 
+    async def _census(self) -> dict[str, Ballots]:
+        return dict(await self.census.gather(every_us=CENSUS_EVERY_US))
+
+    def _planned(self, database: str) -> str:
+        plan = self.duty.plan
+        route = None if plan is None else plan.routes.get(database)
+        return "" if route is None else route.service
+
     def _shorten(self, key: str, value: bytes) -> bytes:
         """Booths act on the compiled plan; the operator's document stays here."""
         if key != PLAN_KEY or not value:
@@ -209,9 +235,24 @@
             return Error(Fault(kind=Kind.noConfiguration, why="no configuration has been accepted yet"))
         return Ok(read_service_plan(data=found.ok.value).document)
 
+    async def _shards_asked(self, unpacker: Unpacker) -> bytes:
+        """An operator's shard map, or no bytes for a word on the one that stands; answered by a kind and words."""
+        raw = unpacker.blob()
+        unpacker.done()
+        if not raw:
+            found = await self.vault.register.read(key=SHARDS_KEY)
+            if found.is_error():
+                return Packer().text(value=found.error.kind.value).text(value=found.error.why).bytes()
+            return Packer().text(value="").text(value=describe(state=read_shard_state(data=found.ok.value))).bytes()
+        checked = check_shard_map(raw=raw)
+        result = Error(checked.error) if checked.is_error() else await self.shards.propose(wanted=checked.ok)
+        if result.is_error():
+            return Packer().text(value=result.error.kind.value).text(value=result.error.why).bytes()
+        return Packer().text(value="").text(value="put to the booths").bytes()
+
     async def drain(self) -> None:
         """A planned stop: hands its duties back, then says goodbye."""
-        await asyncio.gather(self.duty.lease.drop(), self.slots.lease.drop())
+        await asyncio.gather(self.duty.lease.drop(), self.slots.lease.drop(), self.shards.lease.drop())
         await self.vault.drain()
 
     def resettle(self, *, settings: Settings) -> None:
--- a/src/cinderstair/guildhall/relay.py
+++ b/src/cinderstair/guildhall/relay.py
@@ -14,11 +14,13 @@
 from ..pitch.desk import Desk
 from ..pitch.desks import RELAY
 from ..pitch.unpacker import Unpacker
+from ..steward.shard_state import Vote
 from ..vault.register import Found
 from ..vault.register_view import RegisterView
 
 TICK_US = 100_000
 FORGET_US = 30_000_000
+KEEP_US = 60_000_000
 Shorten = Callable[[str, bytes], bytes]
 
 
@@ -46,7 +48,7 @@
         self.edition = 1
         self.value_editions: dict[str, int] = {}
         self.backends: dict[str, tuple[int, RelayedBackend]] = {}
-        self.booths_us: dict[str, int] = {}
+        self.booths: dict[str, tuple[int, int, Vote]] = {}
         self.told: tuple[str, ...] = ()
         self.told_edition = 0
         desk.open(kind=RELAY, answer=self.answer)
@@ -79,7 +81,7 @@
 
     async def answer(self, unpacker: Unpacker) -> bytes:
         question = read_relay_question(unpacker=unpacker)
-        self.booths_us[question.booth] = self.ctx.nowUs()
+        self.booths[question.booth] = (self.ctx.nowUs(), question.version, question.vote)
         for name in question.troubled:
             self.on_trouble(name, question.booth)
         whole = question.source != self.source or question.edition > self.edition
@@ -104,11 +106,15 @@
     def _value(self, *, key: str, found: Found) -> RelayedValue:
         return RelayedValue(key=key, ballot=found.ballot, value=self.shorten(key, found.value))
 
-    def seen(self, *, within_us: int) -> dict[str, int]:
-        """The booths that asked lately, each with how long ago."""
+    def seen(self, *, within_us: int) -> list[tuple[str, int, int, Vote]]:
+        """The booths that asked lately: how long ago, and how they vote on the shard map of which version."""
         now_us = self.ctx.nowUs()
-        self.booths_us = {name: us for name, us in self.booths_us.items() if now_us - us < 60_000_000}
-        return {name: now_us - us for name, us in self.booths_us.items() if now_us - us <= within_us}
+        self.booths = {name: entry for name, entry in self.booths.items() if now_us - entry[0] < KEEP_US}
+        return [
+            (name, now_us - at_us, version, vote)
+            for name, (at_us, version, vote) in self.booths.items()
+            if now_us - at_us <= within_us
+        ]
 
 
 def same(one: Announcement, other: Announcement) -> bool:
--- a/src/cinderstair/guildhall/slot_keeper.feature
+++ b/src/cinderstair/guildhall/slot_keeper.feature
@@ -43,6 +43,6 @@
     Then the slots are "0 b1, 1 b2, 2 b3"
     And they were written 1 times
 
-  Scenario: A keeper tells its neighbours whom it sees
+  Scenario: A keeper tells its neighbours whom it sees, and how they vote
     Given 1 guildhalls that keep slots
     Then a keeper that is asked tells how long ago it saw each booth
--- /dev/null
+++ b/src/cinderstair/steward/shard_duty.py
@@ -0,0 +1,207 @@
+"""The duty of bringing in a new shard map: agreed on by enough booths, then taken by all together."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from expression import Error, Ok, Result
+
+from ..charter.shard_map import ShardMap
+from ..pitch.context import Context
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.ownermixin import OwnerMixin
+from ..vault.lease import Lease
+from ..vault.register import Found, Register
+from ..vault.register_view import RegisterView
+from .shard_state import SHARDS_KEY, ShardPhase, ShardState, Vote, read_shard_state
+from .slots import SLOTS_KEY, readSlots
+
+TICK_US = 150_000
+SHARD_DUTY = "shards"
+SEEN_US = 3_000_000
+PROPOSED_MOST_US = 30_000_000
+CLOSING_MOST_US = 5_000_000
+# why: a commit that left just before its booth had to stop may be under way for as long as a route lets it be
+UNDER_WAY_US = 1_500_000
+EXPECTED_US = 900_000
+
+
+class Ballots(Protocol):
+    """What is known of one booth's vote."""
+
+    @property
+    def at_us(self) -> int: ...
+
+    @property
+    def version(self) -> int: ...
+
+    @property
+    def vote(self) -> Vote: ...
+
+
+class Handover(Protocol):
+    """Whoever brings a database's data to its new place; cinderstair only asks whether all of it is there."""
+
+    async def complete(self, *, database: str, source: str, target: str) -> bool:
+        """Whether the target's primary holds everything that the source's ever acknowledged."""
+        ...
+
+
+Census = Callable[[], Awaitable[dict[str, Ballots]]]
+Planned = Callable[[str], str]
+
+
+class ShardDuty(OwnerMixin):
+    """Every step is a compare-and-set on the shards' key. A step that can't be done goes back to the old map."""
+
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        register: Register,
+        view: RegisterView,
+        census: Census,
+        planned: Planned,
+        handover: Handover | None,
+        lease_us: int,
+    ) -> None:
+        self.ctx = ctx
+        self.register = register
+        self.view = view
+        self.census = census
+        self.planned = planned
+        self.handover = handover
+        self.outwait_us = lease_us + lease_us // 10 + UNDER_WAY_US
+        self.lease = Lease(ctx=ctx, register=register, duty=SHARD_DUTY, seekers=lambda: 3)
+        self.state = ShardState()
+        self.since_us = 0
+        self.reason = ""
+        view.changes.subscribe(self._changed)
+        self.openQueue()
+        self.every(everyUs=TICK_US, command=self._tick, name="shards")
+
+    def _changed(self, key: str) -> None:
+        found = self.view.known.get(key)
+        if key == SHARDS_KEY and found is not None:
+            self.state = read_shard_state(data=found.value)
+            self.since_us = self.ctx.nowUs()
+
+    async def propose(self, *, wanted: ShardMap) -> Result[None, Fault]:
+        """Puts a checked map to the booths. versionOld, versionTaken: another stands, or is on its way."""
+        if self.handover is None:
+            why = "nothing here brings a database's data to another place"
+            return Error(Fault(kind=Kind.routeDenied, why=why))
+
+        def decide(data: bytes) -> Result[bytes, Fault]:
+            state = read_shard_state(data=data)
+            if state.phase != ShardPhase.steady and state.following != wanted:
+                return Error(Fault(kind=Kind.versionTaken, why=f"version {state.following.version} is on its way"))
+            if wanted.version <= state.current.version and wanted != state.current:
+                return Error(Fault(kind=Kind.versionOld, why=f"version {state.current.version} stands"))
+            # why: the same map may be put again, by whoever had no clear answer the first time
+            if wanted in (state.current, state.following):
+                return Ok(data)
+            return Ok(ShardState(phase=ShardPhase.proposed, current=state.current, following=wanted).bytes())
+
+        result = await self.register.change(key=SHARDS_KEY, decide=decide)
+        self.view.takeOwn(key=SHARDS_KEY, result=result)
+        return Error(result.error) if result.is_error() else Ok(None)
+
+    async def _put(self, *, new: ShardState) -> bool:
+        old = self.state
+
+        def decide(data: bytes) -> Result[bytes, Fault]:
+            if read_shard_state(data=data) not in (old, new):
+                return Error(Fault(kind=Kind.versionTaken, why="the shard map changed meanwhile"))
+            return Ok(new.bytes())
+
+        if not self.lease.held:
+            return False
+        result: Result[Found, Fault] = await self.register.change(key=SHARDS_KEY, decide=decide)
+        self.view.takeOwn(key=SHARDS_KEY, result=result)
+        if result.is_ok():
+            self.ctx.log.info(
+                "shards: %s, map %d, next %d", new.phase.name, new.current.version, new.following.version
+            )
+        return result.is_ok()
+
+    async def _tick(self) -> None:
+        # why: with one map and no other there is nothing to do, and nobody need hold the duty
+        if self.state.phase == ShardPhase.steady:
+            if self.lease.held:
+                await self.lease.drop()
+            return
+        if self.lease.due:
+            held = self.lease.held
+            if await self.lease.seek() and not held:
+                # why: what went by before this holder began is not known to it
+                self.since_us = self.ctx.nowUs()
+        if not self.lease.held or not self.view.current:
+            return
+        booths = await self.census()
+        if self.state.phase == ShardPhase.proposed:
+            await self._count(booths=booths)
+        else:
+            await self._move(booths=booths)
+
+    def _votes(self, *, booths: dict[str, Ballots], vote: Vote) -> set[str]:
+        """The booths that were seen lately and say this of the next map."""
+        now_us, version = self.ctx.nowUs(), self.state.following.version
+        return {
+            name
+            for name, seen in booths.items()
+            if now_us - seen.at_us < SEEN_US and seen.version == version and seen.vote == vote
+        }
+
+    def _named(self) -> set[str]:
+        found = self.view.known.get(SLOTS_KEY)
+        return {name for _, name in readSlots(data=b"" if found is None else found.value).names}
+
+    async def _back(self, *, why: str) -> None:
+        self.reason = why
+        self.ctx.log.warning("shards: map %d is withdrawn: %s", self.state.following.version, why)
+        self.ctx.counters.add(name="shards.withdrawn")
+        await self._put(new=ShardState(current=self.state.current))
+
+    async def _count(self, *, booths: dict[str, Ballots]) -> None:
+        """From proposed to closing, once enough of all booths that have a slot agree."""
+        named = self._named()
+        agree = self._votes(booths=booths, vote=Vote.agrees) & named
+        if named and 100 * len(agree) >= self.state.following.agree_percent * len(named):
+            state = ShardState(
+                phase=ShardPhase.closing,
+                current=self.state.current,
+                following=self.state.following,
+                ready_in_us=EXPECTED_US,
+            )
+            await self._put(new=state)
+        elif self.ctx.nowUs() - self.since_us > PROPOSED_MOST_US:
+            await self._back(why=f"{len(agree)} of {len(named)} booths agree")
+
+    async def _move(self, *, booths: dict[str, Ballots]) -> None:
+        """From closing to steady under the new map, once nobody writes at the old places any more."""
+        waited_us = self.ctx.nowUs() - self.since_us
+        closed = self._votes(booths=booths, vote=Vote.closed)
+        # why: a booth that says that it has closed writes there no more; one that says nothing, named or not, has
+        # lost its right to by then, since its view of the register has run out
+        unheard = {name for name, seen in booths.items() if self.ctx.nowUs() - seen.at_us < SEEN_US} - closed
+        if (unheard or not self._named() <= closed) and waited_us < self.outwait_us:
+            return
+        if await self._complete():
+            await self._put(new=ShardState(current=self.state.following))
+            self.ctx.counters.add(name="shards.moved")
+        elif waited_us > self.outwait_us + CLOSING_MOST_US:
+            await self._back(why="the new place does not hold everything")
+
+    async def _complete(self) -> bool:
+        assert self.handover is not None
+        old, new = self.state.current, self.state.following
+        for database in sorted(set(old.places) | set(new.places)):
+            if not self.state.moving(database=database):
+                continue
+            planned = self.planned(database)
+            source = old.place(database=database, planned=planned)
+            target = new.place(database=database, planned=planned)
+            if source != target and not await self.handover.complete(database=database, source=source, target=target):
+                return False
+        return True
--- /dev/null
+++ b/src/cinderstair/steward/shard_state.py
@@ -0,0 +1,59 @@
+"""The register's word on the shard map: the one in force, and the one that is to follow it."""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from ..charter.shard_map import ShardMap, read_shard_map
+from ..pitch.packer import Packer
+from ..pitch.unpacker import Unpacker
+
+SHARDS_KEY = "shards"
+
+
+class ShardPhase(IntEnum):
+    """steady: one map. proposed: a next one is put to the booths. closing: its databases take no writes anywhere."""
+
+    steady = 0
+    proposed = 1
+    closing = 2
+
+
+class Vote(IntEnum):
+    """What a booth says of the next map."""
+
+    silent = 0
+    agrees = 1
+    disagrees = 2
+    closed = 3
+
+
+@dataclass(frozen=True, kw_only=True)
+class ShardState:
+    phase: ShardPhase = ShardPhase.steady
+    current: ShardMap = field(default_factory=ShardMap)
+    following: ShardMap = field(default_factory=ShardMap)
+    ready_in_us: int = 0
+
+    def moving(self, *, database: str) -> bool:
+        """Whether a database's place differs between the two maps. One that neither names stays where it is."""
+        if self.phase == ShardPhase.steady:
+            return False
+        return self.current.places.get(database) != self.following.places.get(database)
+
+    def bytes(self) -> bytes:
+        packer = Packer().u8(value=self.phase)
+        self.current.write(packer=packer)
+        self.following.write(packer=packer)
+        return packer.u64(value=self.ready_in_us).bytes()
+
+
+def read_shard_state(*, data: bytes) -> ShardState:
+    """Raises ValueError where the bytes are none; no bytes at all are the empty map."""
+    if not data:
+        return ShardState()
+    unpacker = Unpacker(data=data)
+    phase = ShardPhase(unpacker.u8())
+    current, following = read_shard_map(unpacker=unpacker), read_shard_map(unpacker=unpacker)
+    state = ShardState(phase=phase, current=current, following=following, ready_in_us=unpacker.u64())
+    unpacker.done()
+    return state
--- a/steps/guildhallsteps.py
+++ b/steps/guildhallsteps.py
@@ -14,6 +14,7 @@
 from cinderstair.crier.beat import EMPTYING, READY
 from cinderstair.crier.news import News
 from cinderstair.crier.relay_record import RelayAnswer, RelayQuestion, read_relay_answer
+from cinderstair.guildhall.booth_census import BoothCensus
 from cinderstair.guildhall.relay import Relay
 from cinderstair.guildhall.slot_keeper import SlotKeeper
 from cinderstair.pitch.context import Context
@@ -27,6 +28,7 @@
 from cinderstair.steward.backend_control import BackendState
 from cinderstair.steward.promotion_duty import PromotionDuty
 from cinderstair.steward.service_lead import LeadState, ServiceLead, read_service_lead, service_lead_key
+from cinderstair.steward.shard_state import Vote
 from cinderstair.steward.slots import SLOTS_KEY, readSlots
 from cinderstair.vault.acceptor import BEATEN, OK
 from cinderstair.vault.ballot import Ballot
@@ -766,7 +768,7 @@
 @then('within {within_ms:d} ms it saw the booths "{names}"')
 def then_saw(context: Any, within_ms: int, names: str) -> None:
     seen = context.hall.relay.seen(within_us=within_ms * 1_000)
-    assert " ".join(sorted(seen)) == names, seen
+    assert " ".join(sorted(entry[0] for entry in seen)) == names, seen
 
 
 # -- slots --
@@ -779,11 +781,16 @@
         self.stage = stage
         self.asking: set[str] = set()
         self.asked_us: dict[str, int] = {}
+        self.votes: dict[str, tuple[int, Vote]] = {}
 
-    def seen(self, *, within_us: int) -> dict[str, int]:
+    def seen(self, *, within_us: int) -> list[tuple[str, int, int, Vote]]:
         now_us = self.stage.now_us
         self.asked_us.update(dict.fromkeys(self.asking, now_us))
-        return {name: now_us - us for name, us in self.asked_us.items() if now_us - us <= within_us}
+        return [
+            (name, now_us - us, *self.votes.get(name, (0, Vote.silent)))
+            for name, us in self.asked_us.items()
+            if now_us - us <= within_us
+        ]
 
 
 class DeskNet:
@@ -811,14 +818,13 @@
         hall.relay = FakeRelay(stage=context.stage)
 
         def work(hall: Hall = hall) -> None:
-            keeper = SlotKeeper(
+            census = BoothCensus(
                 ctx=hall.ctx,
                 desk=hall.desk,
-                register=hall.register,
-                view=hall.view,
                 relay=hall.relay,
                 neighbours=lambda: [name for name in context.desks if name != hall.ctx.name],
             )
+            keeper = SlotKeeper(ctx=hall.ctx, register=hall.register, view=hall.view, census=census)
             context.keepers.append(keeper)
 
         context.stage.call(call=work)
@@ -870,11 +876,12 @@
 @then("a keeper that is asked tells how long ago it saw each booth")
 def then_booths(context: Any) -> None:
     context.halls[0].relay.asking, context.halls[0].relay.asked_us = {"b"}, {"a": context.stage.now_us - 7_000}
+    context.halls[0].relay.votes["b"] = (4, Vote.agrees)
     body = Packer().u8(value=BOOTHS).bytes()
     unpacker = Unpacker(data=context.stage.run(work=context.desks["core-1"].answer(body)))
-    found = dict(unpacker.many(each=lambda u: (u.text(), u.u64())))
+    found = unpacker.many(each=lambda u: (u.text(), u.u64(), u.u64(), Vote(u.u8())))
     unpacker.done()
-    assert found == {"a": 7_000, "b": 0}, found
+    assert sorted(found) == [("a", 7_000, 0, Vote.silent), ("b", 0, 4, Vote.agrees)], found
 
 
 @then("the position that the lead was fenced at is at or past every acknowledged commit")
