--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -5,7 +5,7 @@
 
 from expression import Error, Ok, Result
 
-from ..charter.service_plan import DatabaseRoute
+from ..charter.service_plan import PLAN_KEY, DatabaseRoute
 from ..crier.announcement import GONE
 from ..crier.beat import READY
 from ..pitch.answers import ANSWERS
@@ -15,6 +15,7 @@
 from ..pitch.position import Position
 from ..stall.share import allotment, subset
 from ..steward.service_lead import PREFIX, LeadState, ServiceLead
+from ..steward.slots import SLOTS_KEY
 from .freshness import Freshness
 from .link import Dialer
 from .link_pool import LinkPool
@@ -34,6 +35,8 @@
 BEGIN_US = 3_000_000
 SILENT_LEFT_US = 1_000_000
 MOST_ALIASES = 4_096
+TENDED_AT_ONCE = 50
+RECKONED = (PLAN_KEY, SLOTS_KEY, "backends")
 
 
 class Router:
@@ -58,6 +61,9 @@
         self.shares: dict[str, tuple[str, ...]] = {}
         self.leaving_us: dict[str, int] = {}
         self.aliases: dict[tuple[bytes, bool], int] = {}
+        self.members: dict[str, list[str]] = {}
+        self.parts: dict[int, int] = {}
+        self.turn = 0
         self.shards = Shards(ctx=ctx, view=view, busy=busy)
         view.troubled = self.troubled
         view.changes.subscribe(self._changed)
@@ -72,7 +78,11 @@
             lead = self.view.leads[service]
             if lead.state == LeadState.moving:
                 self.freshness(service=service).fence(as_of_us=-(1 << 60), position=lead.fence)
-        self.reckon()
+            # why: with thousands of services a lead that moves must not cost the reckoning of all others
+            if service in self.members:
+                self._reckon_service(service=service)
+        elif key in RECKONED:
+            self.reckon()
 
     def alias(self, *, shape: bytes, writes: bool) -> bytes:
         """The name under which a shape is prepared on this booth's links, whatever its clients call it."""
@@ -102,23 +112,39 @@
                     )
                     self.pools[name] = pool
                 pool.backend = announcement
-        for name in [name for name in self.pools if not any(name in each for each in names.values())]:
+        kept = {name for each in names.values() for name in each}
+        for name in [name for name in self.pools if name not in kept]:
             self.pools.pop(name).shut()
             self.leaving_us.pop(name, None)
-        booth_id = self.view.slots.idOf(name=self.ctx.name)
-        for service, listed in names.items():
-            lead = self.view.leads.get(service)
-            copies = sorted(name for name in listed if lead is None or name != lead.primary)
-            self.shares[service] = subset(names=copies, stallId=booth_id or 0, subsetSize=SUBSET_SIZE)
-            cap = max(1, plan.services[service].link_cap - CONTROL_LINKS)
-            ids = self.view.slots.ids
+        self.members, self.parts = names, {}
+        for service in names:
+            self._reckon_service(service=service)
+
+    def _part(self, *, cap: int) -> int:
+        """This booth's part of a cap; the same for all services that have the same one."""
+        part = self.parts.get(cap)
+        if part is None:
+            ids, booth_id = self.view.slots.ids, self.view.slots.idOf(name=self.ctx.name)
             # why: a booth that has no number yet must not take what the others were dealt
             part = cap // (len(ids) + 1) if booth_id is None else allotment(cap=cap, userIds=ids, stallId=booth_id)
-            for name in listed:
-                self.pools[name].limit = max(1, part)
-                # why: with fewer links than booths each holds one only while it uses it
-                self.pools[name].lent = cap < len(ids)
-                self._obey(name=name, leads=lead is not None and lead.primary == name)
+            self.parts[cap] = part
+        return part
+
+    def _reckon_service(self, *, service: str) -> None:
+        plan = self.view.plan
+        if plan is None or service not in plan.services:
+            return
+        listed, lead = self.members[service], self.view.leads.get(service)
+        copies = sorted(name for name in listed if lead is None or name != lead.primary)
+        booth_id = self.view.slots.idOf(name=self.ctx.name)
+        self.shares[service] = subset(names=copies, stallId=booth_id or 0, subsetSize=SUBSET_SIZE)
+        cap = max(1, plan.services[service].link_cap - CONTROL_LINKS)
+        part = self._part(cap=cap)
+        for name in listed:
+            self.pools[name].limit = max(1, part)
+            # why: with fewer links than booths each holds one only while it uses it
+            self.pools[name].lent = cap < len(self.view.slots.names)
+            self._obey(name=name, leads=lead is not None and lead.primary == name)
 
     def _obey(self, *, name: str, leads: bool) -> None:
         """A backend that empties gets nothing new; a primary serves on until its place is taken, or late."""
@@ -151,8 +177,9 @@
             lead = self.view.leads.get(self.pools[name].backend.service)
             self._obey(name=name, leads=lead is not None and lead.primary == name)
         for pool in self.pools.values():
-            pool.check_silence()
-        for service in plan.services:
+            if pool.taken or pool.silent:
+                pool.check_silence()
+        for service in self._tended(names=list(plan.services)):
             lead = self.view.leads.get(service)
             if lead is None:
                 continue
@@ -164,6 +191,14 @@
                 copies[0].warm(count=1)
             self._sample(service=service, lead=lead)
 
+    def _tended(self, *, names: list[str]) -> list[str]:
+        """Those that were read from lately, and of all others a part each time."""
+        turns = len(names) // TENDED_AT_ONCE + 1
+        self.turn = (self.turn + 1) % turns
+        now_us = self.ctx.nowUs()
+        wanted = [name for name, fresh in self.fresh.items() if now_us - fresh.wanted_us <= WANTED_FOR_US]
+        return [*dict.fromkeys(name for name in (*wanted, *names[self.turn :: turns]) if name in self.members)]
+
     def _sample(self, *, service: str, lead: ServiceLead) -> None:
         """Asks the primary for its position where reads will want one and no statement has shown it lately."""
         fresh = self.freshness(service=service)
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/__main__.py
@@ -0,0 +1,106 @@
+"""Measures what each role costs by the numbers of booths and databases: hollow ones before real guildhalls.
+
+Starts processes on loopback, takes a few minutes, stops by itself and leaves nothing behind. Progress goes to
+standard error, results as lines of JSON to --out, and what follows from them to standard output.
+"""
+
+import argparse
+import asyncio
+import json
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from .report import report
+from .run import STEPS, Run, origin
+from .step import read_step
+
+GB = 1_000_000_000
+STOPPED = 130
+
+
+def parser() -> argparse.ArgumentParser:
+    made = argparse.ArgumentParser(prog="python -m cinderstair.fairground.capacity", description=__doc__)
+    made.add_argument("--out", default="", help="where the results go, a line of JSON each")
+    made.add_argument(
+        "--steps",
+        default=STEPS,
+        help="guildhalls:booths:databases[:voters], with spaces between (default: %(default)s)",
+    )
+    made.add_argument("--seconds", type=float, default=540, help="the whole run ends after these (%(default)s)")
+    made.add_argument("--cores", type=float, default=3, help="steps that idle above so many end early (%(default)s)")
+    made.add_argument("--memory-gb", type=float, default=10, help="and those above so much memory (%(default)s)")
+    made.add_argument("--seed", type=int, default=1)
+    made.add_argument("--commit", default="", help="the sources' commit, where they are no checkout")
+    made.add_argument("--no-alone", action="store_true", help="no single turns, the wires alone")
+    made.add_argument("--no-wires", action="store_true", help="single turns alone")
+    made.add_argument(
+        "--from", dest="sources", nargs="*", default=[], help="measure nothing; report on these results"
+    )
+    made.add_argument("--plot", default="", help="a picture of the slopes; needs matplotlib (extra 'capacity')")
+    return made
+
+
+def say(text: str) -> None:
+    print(f"{time.strftime('%H:%M:%S')} {text}", file=sys.stderr, flush=True)
+
+
+async def measured(*, options: argparse.Namespace, out: Path) -> None:
+    steps = [read_step(text=text) for text in options.steps.split()]
+    task = asyncio.current_task()
+    assert task is not None
+    # why: whoever ends the tool must not be left with its processes and folders
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    with out.open("w") as file:
+
+        def record(value: dict[str, Any]) -> None:
+            file.write(json.dumps(value) + "\n")
+            file.flush()
+
+        record(origin(commit=options.commit))
+        run = Run(
+            steps=steps,
+            seconds=options.seconds,
+            cores=options.cores,
+            most_bytes=int(options.memory_gb * GB),
+            seed=options.seed,
+            say=say,
+            record=record,
+        )
+        if not options.no_alone:
+            with tempfile.TemporaryDirectory(prefix="cinderstair-capacity-") as folder:
+                await run.alone(folder=Path(folder))
+        if not options.no_wires:
+            await run.wired()
+        record({"kind": "end", "left_s": round(run.left_s, 1)})
+
+
+def main() -> int:
+    options = parser().parse_args()
+    if not options.sources and not options.out:
+        print("--out names no file for the results", file=sys.stderr)
+        return 2
+    sources = [Path(each) for each in options.sources or [options.out]]
+    if not options.sources:
+        try:
+            asyncio.run(measured(options=options, out=sources[0]))
+        except (KeyboardInterrupt, asyncio.CancelledError):
+            say("stopped before its end")
+            return STOPPED
+    lines = [json.loads(line) for source in sources for line in source.read_text().splitlines()]
+    print(report(lines=lines))
+    if options.plot:
+        from .plot import plot
+
+        trouble = plot(lines=lines, path=options.plot)
+        if trouble:
+            print(trouble, file=sys.stderr)
+            return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/alone_child.py
@@ -0,0 +1,279 @@
+"""One booth, or one guildhall's relay, alone in a process: what single turns of its work cost at any size."""
+
+import asyncio
+import gc
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from ...booth.booth import Booth
+from ...booth.relayed_view import RelayedView
+from ...booth.router import Router
+from ...booth.session import Session
+from ...booth.statement import Statement, Verb
+from ...crier.announcement import Announcement
+from ...crier.crowd import Crowd
+from ...crier.member import Member
+from ...crier.news import Heard, News
+from ...crier.relay_record import RelayedBackend, RelayQuestion
+from ...guildhall.relay import Relay
+from ...pitch.context import Context
+from ...pitch.desk import Desk
+from ...pitch.nodisk import NoDisk
+from ...pitch.packer import Packer
+from ...pitch.unpacker import Unpacker
+from ...steward.service_lead import read_service_lead
+from ...vault.register import Found, Register
+from ...vault.register_view import RegisterView
+from .child import Child, metered_context, rss_bytes, use_adapter
+from .hollow_link import hollow_dialer
+from .made_up import BALLOT, announcements_of, lead_value, plan_of, slots_of, whole_answer
+from .memory_transport import MemoryTransport
+from .naming import booth_name
+
+LEAST_S = 0.15
+MOST_TURNS = 200
+DISTANCES = {"e1": 0, "e2": 1, "e3": 1}
+
+
+def distance(site: str) -> int:
+    return DISTANCES.get(site, 3)
+
+
+def cost_us(work: Callable[[], Any]) -> float:
+    """Processor time of one turn, over enough of them to be told from the clock's grain."""
+    gc.collect()
+    began, turns = time.process_time(), 0
+    while turns < MOST_TURNS and time.process_time() - began < LEAST_S:
+        work()
+        turns += 1
+    return (time.process_time() - began) / turns * 1_000_000
+
+
+class AloneChild(Child):
+    def __init__(self, *, options: dict[str, Any]) -> None:
+        self.options = options
+        self.number = 0
+
+    def _context(self, *, name: str) -> Context:
+        self.number += 1
+        return metered_context(name=name, site="e1", disk=NoDisk(), seed=self.number)
+
+    def _router(self, *, booths: int, databases: int) -> Router:
+        """A router whose view holds everything, put there at once rather than value by value."""
+        ctx = self._context(name=booth_name(number=min(1, booths - 1)))
+        view = RelayedView(ctx=ctx, site="e1", seeds=tuple)
+        router = Router(ctx=ctx, view=view, dialer=hollow_dialer, distance=distance)
+        view.plan = plan_of(version=1, databases=databases)
+        view.slots = slots_of(booths=booths)
+        for each in announcements_of(databases=databases):
+            view.backends[each.name] = RelayedBackend(announcement=each, quiet=False)
+        for database in range(databases):
+            value = lead_value(database=database)
+            view.leads[value.key.partition("/")[2]] = read_service_lead(data=value.value)
+            view.lead_since_us[value.key.partition("/")[2]] = 0
+            view.ballots[value.key] = value.ballot
+        return router
+
+    async def do_booth(self, *, booths: int, databases: int) -> dict[str, Any]:
+        """One turn of each thing that a booth does, and the memory of all that it holds."""
+        gc.collect()
+        before = rss_bytes()
+        router = self._router(booths=booths, databases=databases)
+        began = time.process_time()
+        router.reckon()
+        first_us = (time.process_time() - began) * 1_000_000
+        reckon_us = cost_us(router.reckon)
+        router.tend()
+        # why: links that tending asks for are opened in later turns of the loop, and tended ones cost less
+        for _ in range(3):
+            await asyncio.sleep(0.01)
+            router.tend()
+        await asyncio.sleep(0.05)
+        tend_us = cost_us(router.tend)
+        await asyncio.sleep(0)
+        gc.collect()
+        held = rss_bytes() - before
+        links = sum(pool.open for pool in router.pools.values())
+        most = max((pool.limit for pool in router.pools.values()), default=0)
+        return {
+            "first_us": first_us,
+            "reckon_us": reckon_us,
+            "tend_us": tend_us,
+            "held_bytes": held,
+            "links": links,
+            "most_links": most,
+        }
+
+    async def do_whole(self, *, booths: int, databases: int) -> dict[str, Any]:
+        """What it costs a booth to take everything in, value by value, as it does when it begins."""
+        answer = whole_answer(booths=booths, databases=databases, guildhalls=21)
+        ctx = self._context(name=booth_name(number=0))
+        view = RelayedView(ctx=ctx, site="e1", seeds=tuple)
+        Router(ctx=ctx, view=view, dialer=hollow_dialer, distance=distance)
+        data = answer.bytes()
+        began = time.process_time()
+        view._take(answer=answer)
+        return {"take_us": (time.process_time() - began) * 1_000_000, "answer_bytes": len(data)}
+
+    async def do_guildhall(self, *, booths: int, databases: int, sources: int) -> dict[str, Any]:
+        """One turn of each thing that a guildhall does for booths, backends and its like."""
+        gc.collect()
+        before = rss_bytes()
+        ctx = self._context(name="guildhall-0")
+        desk = Desk(ctx=ctx)
+        me = Member(name=ctx.name, role="vault", site="e1", records="127.0.0.1:1", http="", incarnation=1)
+        crowd = Crowd(ctx=ctx, desk=desk, me=me, seeds=("127.0.0.1:1",), everyUs=3_600_000_000)
+        news: News[Announcement] = News(ctx=ctx, desk=desk, crowd=crowd, everyUs=3_600_000_000, quietUs=3_600_000_000)
+        view = RegisterView(ctx=ctx, register=Register(ctx=ctx, seeds=()), everyUs=3_600_000_000)
+        relay = Relay(
+            ctx=ctx,
+            desk=desk,
+            view=view,
+            news=news,
+            guildhalls=lambda: ("127.0.0.1:1",),
+            on_trouble=lambda name, booth: None,
+            shorten=lambda key, value: value,
+        )
+        now_us = ctx.nowUs()
+        announcements = announcements_of(databases=databases)
+        for number, each in enumerate(announcements):
+            heard = Heard(source=number % sources + 1, version=number + 1, beat=each, bornUs=now_us)
+            news._take(heard=heard)
+        for entry in whole_answer(booths=booths, databases=databases, guildhalls=1).values:
+            view.known[entry.key] = Found(ballot=entry.ballot, value=entry.value)
+        relay.look()
+        gc.collect()
+        held_bytes = rss_bytes() - before
+
+        async def answered(source: int, edition: int) -> bytes:
+            question = RelayQuestion(booth="booth-0001", site="e1", source=source, edition=edition)
+            return await relay.answer(Unpacker(data=question.write(packer=Packer()).bytes()))
+
+        whole = await answered(0, 0)
+        nothing = await answered(relay.source, relay.edition)
+        vector = Packer().u8(value=0)
+        vector.many(values=list(view.known), each=lambda p, key: BALLOT.write(packer=p.text(value=key)))
+        asked = Packer().many(values=[], each=lambda p, e: None).bytes()
+        news_answer = await news._asked(Unpacker(data=asked))
+        return {
+            "held_bytes": held_bytes,
+            "look_us": cost_us(relay.look),
+            "whole_us": await self._cost_us(lambda: answered(0, 0)),
+            "whole_bytes": len(whole),
+            "nothing_us": await self._cost_us(lambda: answered(relay.source, relay.edition)),
+            "nothing_bytes": len(nothing),
+            "vector_bytes": len(vector.bytes()),
+            "news_vector_us": cost_us(news._vector),
+            "news_entry_bytes": len(news_answer) / max(1, len(announcements)),
+            "news_answer_us": await self._cost_us(lambda: news._asked(Unpacker(data=asked))),
+        }
+
+    async def _cost_us(self, work: Callable[[], Awaitable[Any]]) -> float:
+        gc.collect()
+        began, turns = time.process_time(), 0
+        while turns < MOST_TURNS and time.process_time() - began < LEAST_S:
+            await work()
+            turns += 1
+        return (time.process_time() - began) / turns * 1_000_000
+
+    # -- the data plane --
+
+    def _booth(self, *, databases: int) -> Booth:
+        booth = Booth(
+            ctx=self._context(name=booth_name(number=0)),
+            site="e1",
+            seeds=tuple,
+            dialer=hollow_dialer,
+            distance=distance,
+        )
+        booth.view._take(answer=whole_answer(booths=2, databases=databases, guildhalls=3))
+        return booth
+
+    async def do_statements(self, *, databases: int, sessions: int, rounds: int) -> dict[str, Any]:
+        """Processor time of a statement: sessions side by side over links in memory."""
+        booth = self._booth(databases=databases)
+        ctx, view = booth.ctx, booth.view
+        opened = [booth.open(database=f"ledger-{n % databases:04}.pool.example") for n in range(sessions)]
+        read = Statement(ident=b"1", verb=Verb.read, text=b"FETCH price ticker=ACME")
+        write = Statement(ident=b"2", verb=Verb.write, text=b"PUT price ticker=ACME value=10.49")
+        shape = Statement(ident=b"3", verb=Verb.prepare, name=b"q", content=b"price ticker=?")
+        execute = Statement(ident=b"4", verb=Verb.execute, name=b"q", content=b"ACME")
+        begin, commit = (Statement(ident=b"5", verb=verb) for verb in (Verb.begin, Verb.commit))
+        kinds: dict[str, list[Statement]] = {
+            "read": [read],
+            "write": [write],
+            "execute": [execute],
+            "transaction": [begin, read, write, commit],
+        }
+        found: dict[str, Any] = {}
+        for session in opened:
+            await session.run(statement=shape)
+        refused = 0
+        for name, statements in kinds.items():
+
+            async def client(session: Session, each: list[Statement] = statements) -> int:
+                bad = 0
+                for _ in range(rounds):
+                    # why: nobody pulls here, and the view must stay as current as it would be
+                    view.as_of_us = ctx.nowUs()
+                    for statement in each:
+                        bad += (await session.run(statement=statement)).fault is not None
+                return bad
+
+            await asyncio.gather(*(client(session) for session in opened))
+            began = time.process_time()
+            refused += sum(await asyncio.gather(*(client(session) for session in opened)))
+            spent = time.process_time() - began
+            found[f"{name}_us"] = spent / (len(opened) * rounds * len(statements)) * 1_000_000
+        found["refused"] = refused
+        booth.stop()
+        return found
+
+    async def do_sessions(self, *, count: int) -> dict[str, Any]:
+        """Memory of a session at rest, and what it costs to look whether it rests too long."""
+        booth = self._booth(databases=3)
+        gc.collect()
+        before = rss_bytes()
+        for number in range(count):
+            session = booth.open(database=f"ledger-{number % 3:04}.pool.example")
+            name, content = b"tz", b"UTC"
+            await session.run(statement=Statement(ident=b"1", verb=Verb.set_value, name=name, content=content))
+            shape = b"price ticker=? day=?"
+            await session.run(statement=Statement(ident=b"2", verb=Verb.prepare, name=b"q%d" % number, content=shape))
+        gc.collect()
+        held = rss_bytes() - before
+        return {"session_bytes": held / count, "tend_us": cost_us(booth._tend) / count}
+
+    async def do_door(self, *, rounds: int, sessions: int) -> dict[str, Any]:
+        """The adapter's door with a session behind it, over a transport in memory."""
+        use_adapter()
+        from citizen.client_door import ClientDoor
+
+        booth = self._booth(databases=3)
+        doors: set[Any] = set()
+        transports: list[MemoryTransport] = []
+        gc.collect()
+        before = rss_bytes()
+        for number in range(sessions):
+            door = ClientDoor(booth=booth, doors=doors, count=lambda name: None)
+            transport = MemoryTransport(door=door)
+            transports.append(transport)
+            door.connection_made(transport)
+            door.data_received(b"GREET ledger-%04d.pool.example app\r\n" % (number % 3))
+            await asyncio.sleep(0)
+        gc.collect()
+        held = rss_bytes() - before
+        found: dict[str, Any] = {"connection_bytes": held / sessions}
+        crowd = transports[:50]
+        for name, text in (("read", b"FETCH price ticker=ACME"), ("write", b"PUT price ticker=ACME value=10.49")):
+            began = time.process_time()
+            for number in range(rounds):
+                booth.view.as_of_us = booth.ctx.nowUs()
+                await asyncio.gather(
+                    *(each.ask(b"ASK %d-%d %s\r\n" % (number, at, text)) for at, each in enumerate(crowd))
+                )
+            found[f"door_{name}_us"] = (time.process_time() - began) / rounds / len(crowd) * 1_000_000
+        found["garbled"] = sum(b"ERROR" in each.last for each in transports)
+        booth.stop()
+        return found
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/beat_child.py
@@ -0,0 +1,96 @@
+"""Hollow databases: three backends each, which beat over HTTP and are nothing else."""
+
+import asyncio
+import json
+from typing import Any
+
+from .beat_line import BeatLine
+from .child import Child, now_us, reading_of
+from .naming import COPIES, backend_name, service_name, zone_of
+
+# how many requests one guildhall is asked at a time
+LINES = 6
+AGAIN_S = 0.2
+
+
+class BeatChild(Child):
+    def __init__(self, *, options: dict[str, Any]) -> None:
+        self.controls: list[str] = options["controls"]
+        self.every_us: int = options["every_us"]
+        self.databases: int = options["databases"]
+        self.primaries = {n: backend_name(service=n, copy=COPIES[0]) for n in range(self.databases)}
+        self.number = 1
+        self.sent = 0
+        self.failed = 0
+        self.late = 0
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def begin(self) -> None:
+        places: dict[int, list[tuple[int, str]]] = {}
+        lines = len(self.controls) * LINES
+        for database in range(self.databases):
+            for number, copy in enumerate(COPIES):
+                places.setdefault((database * 3 + number) % lines, []).append((database, copy))
+        for line, backends in places.items():
+            self.tasks.append(asyncio.create_task(self._beat(line=line, backends=backends)))
+
+    async def _beat(self, *, line: int, backends: list[tuple[int, str]]) -> None:
+        """Every backend of this line once in each round, evenly spread over it."""
+        pace_us = self.every_us // len(backends)
+        due_us = now_us() + pace_us * line // (len(self.controls) * LINES)
+        at = line % len(self.controls)
+        wire: BeatLine | None = None
+        turn = 0
+        while True:
+            await asyncio.sleep(max(0, due_us - now_us()) / 1_000_000)
+            due_us += pace_us
+            # why: a line that fell behind goes on at its pace; to catch up would be a crowd of its own making
+            if due_us < now_us():
+                self.late += 1
+                due_us = now_us()
+            database, copy = backends[turn % len(backends)]
+            turn += 1
+            try:
+                if wire is None or wire.transport is None:
+                    host, _, port = self.controls[at].rpartition(":")
+                    loop = asyncio.get_running_loop()
+                    _, wire = await loop.create_connection(BeatLine, host, int(port))
+                name, body = self._body(database=database, copy=copy)
+                async with asyncio.timeout(2):
+                    status = await wire.put(host=self.controls[at], path=f"/cinderstair/servers/{name}", body=body)
+                self.sent += 1
+                self.failed += status != 200
+            except (OSError, TimeoutError):
+                self.failed += 1
+                wire = None
+                # why: a guildhall that is gone is left for the next one, as a backend does
+                at = (at + 1) % len(self.controls)
+                await asyncio.sleep(AGAIN_S)
+
+    def _body(self, *, database: int, copy: str) -> tuple[str, bytes]:
+        name = backend_name(service=database, copy=copy)
+        self.number += 1
+        value = {
+            "call_count": self.number,
+            "target": service_name(number=database),
+            "address": f"10.{database // 250}.{database % 250}.{COPIES.index(copy) + 1}:6000",
+            "zone": zone_of(number=database + COPIES.index(copy) * 3),
+            "standing": "ready",
+            "db_role": "primary" if self.primaries[database] == name else "copy",
+            "call_room": 100,
+        }
+        return name, json.dumps(value).encode()
+
+    async def do_lead(self, *, database: int, name: str) -> dict[str, Any]:
+        self.primaries[database] = name
+        return {}
+
+    async def do_read(self) -> dict[str, Any]:
+        return reading_of(nets=[]).value()
+
+    async def do_status(self) -> dict[str, Any]:
+        return {"sent": self.sent, "failed": self.failed, "late": self.late}
+
+    async def end(self) -> None:
+        for task in self.tasks:
+            task.cancel()
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/children.py
@@ -0,0 +1,40 @@
+"""The tool's child processes: `python -m cinderstair.fairground.capacity.children ROLE OPTIONS`."""
+
+import asyncio
+import json
+import signal
+import sys
+from typing import Any
+
+from .child import Child
+
+
+def made(*, role: str, options: dict[str, Any]) -> Child:
+    # why: each child loads only what its role needs, since its memory is what is measured
+    if role == "guildhall":
+        from .guildhall_child import GuildhallChild
+
+        return GuildhallChild(options=options)
+    if role == "booths":
+        from .booth_child import BoothChild
+
+        return BoothChild(options=options)
+    if role == "beats":
+        from .beat_child import BeatChild
+
+        return BeatChild(options=options)
+    if role == "alone":
+        from .alone_child import AloneChild
+
+        return AloneChild(options=options)
+    raise ValueError(f"no such role: {role}")
+
+
+async def main() -> None:
+    await made(role=sys.argv[1], options=json.loads(sys.argv[2])).run()
+
+
+if __name__ == "__main__":
+    # why: a Ctrl-C reaches the whole group; the parent ends its children in order
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    asyncio.run(main())
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/hollow_booth.py
@@ -0,0 +1,76 @@
+"""A real booth without clients and without links, and the moments at which it knew things."""
+
+from collections.abc import Callable
+from typing import Any
+
+from ...booth.booth import Booth
+from ...charter.service_plan import PLAN_KEY
+from ...pitch.nodisk import NoDisk
+from ...steward.service_lead import PREFIX
+from ...steward.slots import SLOTS_KEY
+from .child import metered_context, now_us
+from .hollow_link import hollow_dialer
+from .naming import REGIONS
+
+
+class HollowBooth:
+    def __init__(
+        self, *, name: str, site: str, seeds: tuple[str, ...], seed: int, watched: Callable[[], str]
+    ) -> None:
+        self.ctx = metered_context(name=name, site=site, disk=NoDisk(), seed=seed)
+        self.name = name
+        self.watched = watched
+        self.marks: dict[str, int] = {}
+        self.began_us = now_us()
+        self.oldest_us = 0
+
+        def distance(other: str) -> int:
+            if other == site:
+                return 0
+            return 1 if REGIONS.get(other) == REGIONS.get(site) else 3
+
+        self.booth = Booth(ctx=self.ctx, site=site, seeds=lambda: seeds, dialer=hollow_dialer, distance=distance)
+        # why: the router listens first, so what is marked here has been reckoned with already
+        self.booth.view.changes.subscribe(self._changed)
+
+    @property
+    def net(self) -> Any:
+        return self.ctx.net
+
+    def _changed(self, key: str) -> None:
+        view = self.booth.view
+        if key == PLAN_KEY and view.plan is not None:
+            self._mark(key=f"plan {view.plan.version}")
+        elif key.startswith(PREFIX):
+            service = key.removeprefix(PREFIX)
+            self._mark(key=f"lead {service} {view.leads[service].term}")
+        elif key == SLOTS_KEY and self.watched() and view.slots.idOf(name=self.watched()) is not None:
+            self._mark(key=f"slot {self.watched()}")
+
+    def _mark(self, *, key: str) -> None:
+        self.marks.setdefault(key, now_us())
+
+    def knows(self, *, databases: int) -> bool:
+        """Whether it has all that it needs to serve."""
+        view = self.booth.view
+        return (
+            view.plan is not None
+            and len(view.leads) >= databases
+            and len(view.backends) >= 3 * databases
+            and view.slots.idOf(name=self.name) is not None
+        )
+
+    def look(self) -> None:
+        """Takes note of how old the view has come to be."""
+        self.oldest_us = max(self.oldest_us, now_us() - self.booth.view.as_of_us)
+
+    async def start(self) -> None:
+        await self.booth.start()
+
+    async def stop(self) -> None:
+        self.booth.stop()
+        # why: ticks of reactivex outlive the booth that asked for them, and without a plan they do nothing
+        self.booth.view.plan = None
+        self.booth.router.pools.clear()
+        await self.ctx.net.close()
+        self.ctx.close()
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/hollow_control.py
@@ -0,0 +1,39 @@
+"""Backends that are not there, as the holder of the duty of promotions sees them."""
+
+from collections.abc import Callable
+
+from expression import Ok, Result
+
+from ...crier.announcement import Announcement
+from ...pitch.fault import Fault
+from ...pitch.position import Position
+from ...steward.backend_control import BackendState
+from ...steward.service_lead import ServiceLead
+
+
+class HollowControl:
+    """Whoever the register names leads; before it names anybody, the backend that says so in its beats."""
+
+    def __init__(self, *, lead: Callable[[str], ServiceLead | None]) -> None:
+        self.lead = lead
+
+    def _state(self, *, backend: Announcement, term: int = 0) -> Result[BackendState, Fault]:
+        lead = self.lead(backend.service)
+        leads = backend.leads if lead is None else lead.primary == backend.name
+        own = 1 if lead is None else lead.term
+        return Ok(BackendState(leads=leads, term=own, received=Position(own, 1), term_held=max(own, term)))
+
+    async def state(self, *, backend: Announcement, wait_us: int) -> Result[BackendState, Fault]:
+        return self._state(backend=backend)
+
+    async def pause(self, *, backend: Announcement, term: int, wait_us: int) -> Result[BackendState, Fault]:
+        return self._state(backend=backend, term=term)
+
+    async def resume(self, *, backend: Announcement, wait_us: int) -> Result[BackendState, Fault]:
+        return self._state(backend=backend)
+
+    async def step_down(self, *, backend: Announcement, term: int, wait_us: int) -> Result[BackendState, Fault]:
+        return self._state(backend=backend, term=term)
+
+    async def promote(self, *, service: str, backend: str, fence_number: int) -> Result[None, Fault]:
+        return Ok(None)
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/hollow_link.py
@@ -0,0 +1,88 @@
+"""A link to a backend that is not there: it opens nothing and answers at once, in memory."""
+
+import asyncio
+from collections.abc import Callable
+
+from expression import Ok, Result
+
+from ...booth.link import Link
+from ...booth.reply import Reply, State
+from ...booth.statement import Statement, Verb
+from ...crier.announcement import Announcement
+from ...pitch.fault import Fault
+from ...pitch.position import Position
+
+ROW = b"1 Bolt 10.49"
+
+
+class HollowLink:
+    """Keeps the state that a backend would be in, so that the session sees what it expects."""
+
+    __slots__ = ("committed", "ended", "on_lost", "prepared", "state", "term", "values")
+
+    def __init__(self, *, term: int = 1) -> None:
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: dict[bytes, tuple[bytes, bool]] = {}
+        self.on_lost: Callable[[], None] | None = None
+        self.state = State.idle
+        self.term = term
+        self.committed = 1
+        self.ended = False
+
+    @property
+    def open(self) -> bool:
+        return not self.ended
+
+    @property
+    def waiting(self) -> int:
+        return 0
+
+    def _answered(self, *, rows: list[bytes]) -> asyncio.Future[Reply]:
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Reply] = loop.create_future()
+        reply = Reply(rows=rows, stamp=b"1", state=self.state, position=Position(self.term, self.committed))
+        # why: a real answer comes in a later turn of the loop, and whoever waits must really wait
+        loop.call_soon(settle, future, reply)
+        return future
+
+    def send(
+        self, *, statement: Statement, at_least: Position | None = None, alias: bytes = b""
+    ) -> asyncio.Future[Reply]:
+        if statement.verb in (Verb.commit, Verb.rollback):
+            self.state = State.idle
+        if statement.verb in (Verb.write, Verb.commit):
+            self.committed += 1
+        return self._answered(rows=[ROW] if statement.verb in (Verb.read, Verb.execute) else [])
+
+    def set_value(self, *, name: bytes, value: bytes) -> None:
+        self.values[name] = value
+
+    def clear(self) -> None:
+        self.values, self.prepared = {}, {}
+
+    def prepare(self, *, alias: bytes, shape: bytes, writes: bool) -> None:
+        self.prepared[alias] = (shape, writes)
+
+    def begin(self, *, read_only: bool, at_least: Position | None) -> asyncio.Future[Reply]:
+        self.state = State.open
+        return self._answered(rows=[])
+
+    def rollback(self) -> asyncio.Future[Reply]:
+        self.state = State.idle
+        return self._answered(rows=[])
+
+    def ask_position(self) -> asyncio.Future[Reply]:
+        return self._answered(rows=[])
+
+    def close(self) -> None:
+        self.ended = True
+
+
+def settle(future: asyncio.Future[Reply], reply: Reply) -> None:
+    if not future.done():
+        future.set_result(reply)
+
+
+async def hollow_dialer(*, backend: Announcement, wait_us: int) -> Result[Link, Fault]:
+    """Opens nothing."""
+    return Ok(HollowLink())
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/made_up.py
@@ -0,0 +1,86 @@
+"""Views of any size, made up in memory: what a booth and a guildhall would hold."""
+
+from ...charter.service_plan import PLAN_KEY, Consistency, DatabaseRoute, Service, ServicePlan
+from ...crier.announcement import Announcement
+from ...crier.relay_record import RelayAnswer, RelayedBackend, RelayedValue
+from ...steward.service_lead import LeadState, ServiceLead, service_lead_key
+from ...steward.slots import SLOTS_KEY, Slots
+from ...vault.ballot import Ballot
+from .naming import COPIES, LINK_CAP, backend_name, booth_name, service_name, zone_of
+
+BALLOT = Ballot(7, 1 << 60)
+
+
+def plan_of(*, version: int, databases: int) -> ServicePlan:
+    routes = [
+        DatabaseRoute(
+            database=f"ledger-{number:04}.pool.example",
+            service=service_name(number=number),
+            consistency=Consistency(number % 3),
+            time_limit_us=2_000_000,
+            rank=1,
+            max_age_us=1_500_000,
+        )
+        for number in range(databases)
+    ]
+    services = [Service(name=service_name(number=n), link_cap=LINK_CAP, confirmations=1) for n in range(databases)]
+    return ServicePlan(
+        version=version,
+        routes={route.database: route for route in routes},
+        services={service.name: service for service in services},
+        rest_limit_us=10_000_000,
+    )
+
+
+def slots_of(*, booths: int) -> Slots:
+    return Slots(names=tuple((number, booth_name(number=number)) for number in range(booths)))
+
+
+def lead_of(*, database: int, term: int = 1) -> ServiceLead:
+    primary = backend_name(service=database, copy=COPIES[0])
+    return ServiceLead(term=term, primary=primary, state=LeadState.settled)
+
+
+def announcements_of(*, databases: int) -> list[Announcement]:
+    return [
+        Announcement(
+            name=backend_name(service=database, copy=copy),
+            number=1,
+            service=service_name(number=database),
+            address=f"10.{database // 250}.{database % 250}.{number + 1}:6000",
+            site=zone_of(number=database + 3 * number),
+            state="ready",
+            leads=number == 0,
+            room=100,
+        )
+        for database in range(databases)
+        for number, copy in enumerate(COPIES)
+    ]
+
+
+def lead_value(*, database: int, term: int = 1) -> RelayedValue:
+    return RelayedValue(
+        key=service_lead_key(service=service_name(number=database)),
+        ballot=Ballot(BALLOT.turn + term, BALLOT.proposer),
+        value=lead_of(database=database, term=term).bytes(),
+    )
+
+
+def whole_answer(*, booths: int, databases: int, guildhalls: int) -> RelayAnswer:
+    """All that a booth is told when it begins, in the order in which a guildhall may give it."""
+    plan = RelayedValue(
+        key=PLAN_KEY, ballot=BALLOT, value=plan_of(version=1, databases=databases).bytes(with_document=False)
+    )
+    slots = RelayedValue(key=SLOTS_KEY, ballot=BALLOT, value=slots_of(booths=booths).bytes())
+    leads = [lead_value(database=database) for database in range(databases)]
+    return RelayAnswer(
+        source=1,
+        edition=1,
+        age_us=0,
+        whole=True,
+        values=(plan, *leads, slots),
+        backends=tuple(
+            RelayedBackend(announcement=each, quiet=False) for each in announcements_of(databases=databases)
+        ),
+        guildhalls=tuple(f"10.255.0.{number}:7000" for number in range(guildhalls)),
+    )
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/memory_transport.py
@@ -0,0 +1,32 @@
+"""A connection in memory, for the adapter's door."""
+
+import asyncio
+from typing import Any
+
+
+class MemoryTransport:
+    """Keeps the last answer."""
+
+    def __init__(self, *, door: Any) -> None:
+        self.door = door
+        self.last = b""
+        self.answered: asyncio.Future[None] | None = None
+
+    def write(self, data: bytes) -> None:
+        self.last = data
+        if self.answered is not None and not self.answered.done():
+            self.answered.set_result(None)
+
+    async def ask(self, line: bytes) -> None:
+        self.answered = asyncio.get_running_loop().create_future()
+        self.door.data_received(line)
+        await self.answered
+
+    def is_closing(self) -> bool:
+        return False
+
+    def close(self) -> None: ...
+
+    def pause_reading(self) -> None: ...
+
+    def resume_reading(self) -> None: ...
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/metered_net.py
@@ -0,0 +1,41 @@
+"""A lean daemon's network that counts what goes through it."""
+
+from expression import Result
+
+from ...pitch.counters import Counters
+from ...pitch.fault import Fault
+from ...pitch.lean_net import LeanNet
+from ...pitch.net import RecordAnswer
+from ...pitch.recordwire import HEAD
+
+
+class MeteredNet(LeanNet):
+    """Records that are never answered count as sent alone."""
+
+    def __init__(self, *, counters: Counters) -> None:
+        super().__init__(counters=counters)
+        self.records_in = self.records_out = self.bytes_in = self.bytes_out = 0
+
+    def _sent(self, *, body: bytes) -> None:
+        self.records_out += 1
+        self.bytes_out += len(body) + HEAD.size
+
+    def _came(self, *, body: bytes) -> None:
+        self.records_in += 1
+        self.bytes_in += len(body) + HEAD.size
+
+    async def ask(self, *, address: str, body: bytes, waitUs: int) -> Result[bytes, Fault]:
+        self._sent(body=body)
+        result = await super().ask(address=address, body=body, waitUs=waitUs)
+        if result.is_ok():
+            self._came(body=result.ok)
+        return result
+
+    async def listen(self, *, address: str, answer: RecordAnswer) -> None:
+        async def metered(body: bytes) -> bytes:
+            self._came(body=body)
+            response = await answer(body)
+            self._sent(body=response)
+            return response
+
+        await super().listen(address=address, answer=metered)
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/naming.py
@@ -0,0 +1,47 @@
+"""How hollow things are called, and where they stand."""
+
+import json
+
+# three regions with seven zones between them
+ZONES = ("e1", "e2", "e3", "w1", "w2", "s1", "s2")
+REGIONS = {zone: zone[0] for zone in ZONES}
+COPIES = "abc"
+LINK_CAP = 400
+
+
+def zone_of(*, number: int) -> str:
+    return ZONES[number % len(ZONES)]
+
+
+def service_name(*, number: int) -> str:
+    return f"ledger-{number:04}"
+
+
+def backend_name(*, service: int, copy: str) -> str:
+    return f"{service_name(number=service)}-{copy}"
+
+
+def booth_name(*, number: int) -> str:
+    return f"booth-{number:04}"
+
+
+def operator_document(*, revision: int, databases: int) -> bytes:
+    """A configuration as an operator sends it: a route and a service for each database."""
+    routes = [
+        {
+            "name": f"route-{number:04}",
+            "host_name": f"ledger-{number:04}.pool.example",
+            "path_start": "/",
+            "sort": ("primary", "recent_enough", "self_hosted")[number % 3],
+            "give_up_ms": 2_000 + revision % 100,
+            "rank": 1,
+            "target": service_name(number=number),
+            "max_age_ms": 1_500,
+        }
+        for number in range(databases)
+    ]
+    services = [
+        {"name": service_name(number=number), "max_links": LINK_CAP, "waits_for": 1} for number in range(databases)
+    ]
+    value = {"revision": revision, "routes": routes, "services": services, "limits": {"tx_rest_ms": 10_000}}
+    return json.dumps(value).encode()
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/part.py
@@ -0,0 +1,87 @@
+"""A child process, as its parent sees it."""
+
+import asyncio
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+from .reading import Reading, read_reading
+
+MOST_LINE = 64 * 1024 * 1024
+END_S = 5.0
+
+
+class Part:
+    """Starts, asks and ends one child; only what was started here is ever ended here."""
+
+    def __init__(self, *, role: str, name: str, options: dict[str, Any], folder: Path) -> None:
+        self.role = role
+        self.name = name
+        self.options = options
+        self.log = folder / f"{name}.log"
+        self.process: asyncio.subprocess.Process | None = None
+        self.turn = asyncio.Lock()
+
+    async def start(self) -> None:
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "cinderstair.fairground.capacity.children",
+                self.role,
+                json.dumps(self.options),
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+                limit=MOST_LINE,
+                env={**os.environ, "PYTHONHASHSEED": "0"},
+            )
+
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    async def ask(self, *, do: str, wait_s: float = 60.0, **options: Any) -> dict[str, Any]:
+        """RuntimeError where it has ended or does not answer in time."""
+        process = self.process
+        if process is None or process.stdin is None or process.stdout is None:
+            raise RuntimeError(f"{self.name} was not started")
+        try:
+            async with self.turn, asyncio.timeout(wait_s):
+                process.stdin.write(json.dumps({"do": do, **options}).encode() + b"\n")
+                await process.stdin.drain()
+                line = await process.stdout.readline()
+        except TimeoutError as error:
+            raise RuntimeError(f"{self.name} does not answer to {do}") from error
+        except ConnectionError:
+            line = b""
+        if not line:
+            raise RuntimeError(f"{self.name} has ended: {self.last_words()}")
+        answer: dict[str, Any] = json.loads(line)
+        return answer
+
+    def last_words(self) -> str:
+        return self.log.read_text(errors="replace")[-600:] if self.log.exists() else ""
+
+    async def reading(self) -> Reading:
+        return read_reading(value=await self.ask(do="read"))
+
+    async def kill(self) -> None:
+        """At once, as a machine that fails."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    async def end(self) -> None:
+        process = self.process
+        if process is None or process.returncode is not None:
+            return
+        if process.stdin is not None:
+            process.stdin.close()
+        try:
+            async with asyncio.timeout(END_S):
+                await process.wait()
+        except TimeoutError:
+            await self.kill()
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/plot.py
@@ -0,0 +1,45 @@
+"""A picture of the slopes, where matplotlib is installed."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from .results import Results
+from .slopes import SLOPES
+
+SHOWN = (
+    "booth idle processor",
+    "booth idle bytes",
+    "guildhall idle processor",
+    "guildhall idle bytes",
+    "booth bytes a configuration",
+    "guildhall bytes a configuration",
+)
+
+
+def plot(*, lines: Sequence[dict[str, Any]], path: str) -> str:
+    """Empty where the picture was drawn, else why it was not."""
+    try:
+        import matplotlib
+    except ImportError:
+        return "no picture: matplotlib is not installed (pip install 'cinderstair[capacity]')"
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    results = Results(lines=lines)
+    figure, axes = pyplot.subplots(2, 3, figsize=(16, 9))
+    slopes = {slope.name: slope for slope in SLOPES}
+    for name, axis in zip(SHOWN, axes.flat, strict=True):
+        slope, fit = slopes[name], results.slopes.get(name)
+        steps, values = slope.points(samples=results.samples)
+        if fit is None:
+            continue
+        # why: with several terms a line over one of them would mislead; measured against fitted shows all
+        fitted = [fit.at(step=step) for step in steps]
+        axis.loglog(fitted, values, "o")
+        axis.loglog([min(fitted), max(fitted)], [min(fitted), max(fitted)], "-")
+        for step, x, y in zip(steps, fitted, values, strict=True):
+            axis.annotate(f"N{step.booths} D{step.databases}", (x, y), fontsize=7)
+        axis.set(title=f"{name} ({slope.unit})", xlabel="fitted", ylabel="measured")
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    return ""
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/results.py
@@ -0,0 +1,111 @@
+"""The lines of a run, sorted, and the slopes through them."""
+
+import math
+from collections.abc import Sequence
+from typing import Any
+
+from .fit import Fit, plainest
+from .sample import Sample, read_sample
+from .slopes import SLOPES
+from .step import Step
+
+# what single turns are fitted to: kind, quantity, unit, terms
+TURNS: Sequence[tuple[str, str, str, tuple[str, ...]]] = (
+    ("booth", "reckon_us", "us", ("1", "D", "DD", "N", "ND")),
+    ("booth", "tend_us", "us", ("1", "D")),
+    ("booth", "held_bytes", "B", ("1", "D", "N")),
+    ("booth", "links", "", ("D",)),
+    ("whole", "take_us", "us", ("D", "ND", "DDD")),
+    ("whole", "answer_bytes", "B", ("1", "D", "N")),
+    ("guildhall", "look_us", "us", ("1", "D")),
+    ("guildhall", "whole_us", "us", ("1", "D")),
+    ("guildhall", "whole_bytes", "B", ("1", "D", "N")),
+    ("guildhall", "nothing_us", "us", ("1", "D")),
+    ("guildhall", "vector_bytes", "B", ("1", "D")),
+    ("guildhall", "news_vector_us", "us", ("1", "D")),
+    ("guildhall", "news_answer_us", "us", ("1", "D")),
+    ("guildhall", "held_bytes", "B", ("1", "D")),
+)
+
+# what takes seconds is fitted too: what, figure, terms
+SPANS: Sequence[tuple[str, str, tuple[str, ...]]] = (
+    ("leads of all databases", "seconds", ("1", "D", "DD")),
+    ("configuration accepted", "median", ("1", "D", "DD")),
+    ("configuration known", "p99", ("1", "N", "D")),
+    ("primary known", "p99", ("1", "N", "D")),
+    ("new booth known", "p99", ("1", "N", "D")),
+    ("oldest view after the holder is lost", "max", ("1", "D")),
+    ("oldest view after a guildhall is lost", "max", ("1", "N", "D")),
+)
+
+
+# why: a hundredth of late beats is the machine's own unrest; more is a system that sheds what it can't carry
+MOST_LATE = 0.01
+
+
+def kept_up(*, lines: Sequence[dict[str, Any]]) -> list[Sample]:
+    """The samples of those steps that carried all they were given; shed work would bend every slope."""
+    kept: list[Sample] = []
+    step: list[Sample] = []
+    sheds = False
+    for line in [*lines, {"kind": "load"}]:
+        if line["kind"] == "load":
+            kept += [] if sheds else step
+            step, sheds = [], False
+        elif line["kind"] == "sample":
+            step.append(read_sample(value=line))
+        elif line["kind"] == "time" and line["what"] == "whole":
+            sheds = line["quiet"] > 0 or line["beats"]["late"] > MOST_LATE * max(1, line["beats"]["sent"])
+    return kept
+
+
+class Results:
+    def __init__(self, *, lines: Sequence[dict[str, Any]]) -> None:
+        self.lines = lines
+        self.samples: list[Sample] = kept_up(lines=lines)
+        self.alone = [line for line in lines if line["kind"] == "alone"]
+        self.times = [line for line in lines if line["kind"] == "time"]
+        self.slopes: dict[str, Fit] = {}
+        self.units: dict[str, str] = {}
+        for slope in SLOPES:
+            fit = slope.fit(samples=self.samples)
+            if fit is not None:
+                self.slopes[slope.name], self.units[slope.name] = fit, slope.unit
+        for what, quantity, unit, terms in TURNS:
+            turn = self._turn(what=what, quantity=quantity, terms=terms)
+            if turn is not None:
+                name = f"{what} turn {quantity}"
+                self.slopes[name], self.units[name] = turn, unit
+        for what, figure, terms in SPANS:
+            told = [line for line in self.time(what=what) if not math.isnan(line.get(figure, math.nan))]
+            span = self._fit(lines=told, quantity=figure, terms=terms)
+            if span is not None:
+                self.slopes[f"{what}, {figure}"], self.units[f"{what}, {figure}"] = span, "s"
+
+    def _turn(self, *, what: str, quantity: str, terms: tuple[str, ...]) -> Fit | None:
+        found = [{"guildhalls": 1, "voters": 0, **line} for line in self.alone if line["what"] == what]
+        return self._fit(lines=found, quantity=quantity, terms=terms)
+
+    def _fit(self, *, lines: list[dict[str, Any]], quantity: str, terms: tuple[str, ...]) -> Fit | None:
+        steps = [Step(**{name: line[name] for name in Step.__dataclass_fields__}) for line in lines]
+        values = [float(line[quantity]) for line in lines]
+        left = list(terms)
+        while left and len(steps) <= len(left):
+            left.pop()
+        while left:
+            try:
+                return plainest(steps=steps, values=values, terms=left)
+            except ValueError:
+                # why: a short run may not tell all terms apart; the plainer ones come first
+                left.pop()
+        return None
+
+    def direct(self, *, what: str, quantity: str, **size: int) -> float | None:
+        """A single turn as it was measured at this very size; None where it was not."""
+        for line in self.alone:
+            if line["what"] == what and all(line.get(name) == value for name, value in size.items()):
+                return float(line[quantity])
+        return None
+
+    def time(self, *, what: str) -> list[dict[str, Any]]:
+        return [line for line in self.times if line["what"] == what]
--- /dev/null
+++ b/src/cinderstair/fairground/capacity/system.py
@@ -0,0 +1,185 @@
+"""All child processes of one step, in a folder of their own."""
+
+import asyncio
+import shutil
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from ...pitch.nodisk import NoDisk
+from ...vault.register import Register
+from ..fleet import freePorts
+from .beat_line import BeatLine
+from .child import metered_context
+from .naming import booth_name, operator_document, zone_of
+from .part import Part
+from .reading import Reading
+from .step import Step
+
+BEAT_EVERY_US = 1_200_000
+POLL_S = 0.05
+MOST_HOSTS = 12
+BOOTHS_A_HOST = 40
+
+
+class Unsettled(Exception):
+    """The step did not come to rest in its time; what it says is a finding of its own."""
+
+
+def hosts_for(*, step: Step) -> int:
+    """How many processes share the booths."""
+    if not step.booths:
+        return 0
+    return max(min(2, step.booths), min(MOST_HOSTS, step.booths // BOOTHS_A_HOST))
+
+
+class System:
+    def __init__(self, *, step: Step, seed: int) -> None:
+        self.step = step
+        self.seed = seed
+        self.folder = Path(tempfile.mkdtemp(prefix="cinderstair-capacity-"))
+        ports = freePorts(count=2 * step.guildhalls)
+        self.records = [f"127.0.0.1:{port}" for port in ports[: step.guildhalls]]
+        self.controls = [f"127.0.0.1:{port}" for port in ports[step.guildhalls :]]
+        self.guildhalls = [self._guildhall(number=n, first_run=True) for n in range(step.guildhalls)]
+        self.hosts = [
+            Part(
+                role="booths",
+                name=f"host-{n}",
+                options={"seeds": self.records, "seed": seed * 1_000_000 + n * 10_000},
+                folder=self.folder,
+            )
+            for n in range(hosts_for(step=step))
+        ]
+        beats = {"controls": self.controls, "every_us": BEAT_EVERY_US, "databases": step.databases}
+        self.beats = Part(role="beats", name="beats", options=beats, folder=self.folder)
+        self.ctx = metered_context(name="driver", site="e1", disk=NoDisk(), seed=seed)
+        self.register = Register(ctx=self.ctx, seeds=tuple(self.records))
+        self.revision = 0
+        self.places: dict[str, Part] = {}
+
+    def _guildhall(self, *, number: int, first_run: bool) -> Part:
+        options = {
+            "name": f"guildhall-{number}",
+            "site": zone_of(number=number),
+            "records": self.records[number],
+            "control": self.controls[number],
+            "seeds": self.records,
+            "voters": self.step.voting,
+            "folder": str(self.folder / f"guildhall-{number}"),
+            "first_run": first_run,
+            "beat_every_us": BEAT_EVERY_US,
+            "seed": self.seed * 100 + number + 1,
+        }
+        return Part(role="guildhall", name=f"guildhall-{number}", options=options, folder=self.folder)
+
+    @property
+    def parts(self) -> list[Part]:
+        return [*self.guildhalls, *self.hosts, self.beats]
+
+    def running(self, *, role: str) -> list[Part]:
+        return [part for part in self.parts if part.role == role and part.running]
+
+    async def until(self, *, test: Callable[[], Awaitable[str]], within_s: float, what: str) -> float:
+        """Waits until the test has nothing to say against it; the seconds that took."""
+        began = time.monotonic()
+        while said := await test():
+            if time.monotonic() - began > within_s:
+                raise Unsettled(f"{what} not within {within_s:.0f} s: {said}")
+            await asyncio.sleep(POLL_S)
+        return time.monotonic() - began
+
+    # -- the beginning --
+
+    async def found(self) -> float:
+        await asyncio.gather(*(part.start() for part in self.guildhalls))
+
+        async def lacking() -> str:
+            states = await self.states()
+            late = [state for state in states if state["voters"] != self.step.voting]
+            return f"{len(late)} of {len(states)} without a roster" if late else ""
+
+        return await self.until(test=lacking, within_s=30, what="a roster")
+
+    async def states(self) -> list[dict[str, Any]]:
+        return list(await asyncio.gather(*(part.ask(do="status") for part in self.running(role="guildhall"))))
+
+    async def configure(self) -> tuple[int, int]:
+        """Puts the next revision over HTTP; the moments of the asking and of the answer."""
+        self.revision += 1
+        body = operator_document(revision=self.revision, databases=self.step.databases)
+        address = self.controls[0]
+        host, _, port = address.rpartition(":")
+        _, line = await asyncio.get_running_loop().create_connection(BeatLine, host, int(port))
+        began_us = self.ctx.nowUs()
+        try:
+            async with asyncio.timeout(20):
+                status = await line.put(host=address, path="/cinderstair/settings", body=body)
+        finally:
+            if line.transport is not None:
+                line.transport.close()
+        if status != 200:
+            raise Unsettled(f"revision {self.revision} was answered {status}")
+        return began_us, self.ctx.nowUs()
+
+    async def lead_all(self, *, within_s: float) -> float:
+        """Backends begin to beat, and the holder of the duty finds out who leads."""
+        await self.beats.start()
+
+        async def lacking() -> str:
+            states = await self.states()
+            least = min((state["leads"] for state in states), default=0)
+            current = sum(state["current"] for state in states)
+            heard = min((state["backends"] for state in states), default=0)
+            known = least >= self.step.databases and heard >= self.step.backends and current == len(states)
+            return "" if known else f"{least} leads and {heard} backends known everywhere, {current} views current"
+
+        return await self.until(test=lacking, within_s=within_s, what="leads")
+
+    async def open_booths(self, *, within_s: float) -> float:
+        if not self.hosts:
+            return 0.0
+        await asyncio.gather(*(part.start() for part in self.hosts))
+        names = [(booth_name(number=n), zone_of(number=n)) for n in range(self.step.booths)]
+        lists = [names[n :: len(self.hosts)] for n in range(len(self.hosts))]
+        for host, own in zip(self.hosts, lists, strict=True):
+            self.places |= {name: host for name, _ in own}
+        await asyncio.gather(
+            *(host.ask(do="open", booths=own, wait_s=120) for host, own in zip(self.hosts, lists, strict=True))
+        )
+        return await self.until(test=self.unknowing, within_s=within_s, what="booths that know everything")
+
+    async def unknowing(self) -> str:
+        asks = [host.ask(do="status", databases=self.step.databases, wait_s=120) for host in self.hosts]
+        states = await asyncio.gather(*asks)
+        knowing = sum(min(state["knowing"], state["current"]) for state in states)
+        return "" if knowing >= self.step.booths else f"{knowing} of {self.step.booths}"
+
+    # -- looking --
+
+    async def readings(self) -> dict[str, Reading]:
+        parts = [part for part in self.parts if part.running]
+        taken = await asyncio.gather(*(part.reading() for part in parts))
+        return {part.name: reading for part, reading in zip(parts, taken, strict=True)}
+
+    async def marks(self, *, key: str) -> dict[str, int]:
+        found: dict[str, int] = {}
+        for answer in await asyncio.gather(*(host.ask(do="marks", key=key) for host in self.hosts)):
+            found |= answer
+        return found
+
+    # -- the end --
+
+    async def end(self) -> None:
+        """Whatever happened: no process and no folder is left."""
+        try:
+            await asyncio.gather(*(part.end() for part in self.parts), return_exceptions=True)
+            await self.ctx.net.close()
+            self.ctx.close()
+        finally:
+            for part in self.parts:
+                if part.running and part.process is not None:
+                    part.process.kill()
+            shutil.rmtree(self.folder, ignore_errors=True)
--- a/src/cinderstair/steward/promotion_duty.py
+++ b/src/cinderstair/steward/promotion_duty.py
@@ -38,6 +38,7 @@
 RETRY_US = 250_000
 RESUME_US = 700_000
 STEP_AGAIN_US = 1_500_000
+CONFIRMED_AT_ONCE = 8
 FORGET_US = 25_000_000
 EXPECTED_US = 1_400_000
 Ask = Coroutine[Any, Any, Result[BackendState, Fault]]
@@ -92,6 +93,8 @@
         self.reasons: dict[str, str] = {}
         self.fenced: set[str] = set()
         self.paused: dict[str, set[str]] = {}
+        # why: a new holder confirms every lead, and all at once they would hold up every view
+        self.confirming = 0
         self.resuming: set[str] = set()
         self.move_us = EXPECTED_US
         self.fence_number = 0
@@ -150,7 +153,12 @@
     async def _confirm(self, *, service: str, lead: ServiceLead) -> None:
         """Writes a standing lead once more, after which copies that were paused may receive again."""
         # why: a move whose write was cut short could still come to be; this write shuts it out for good
-        if await self._put(service=service, old=lead, new=lead):
+        self.confirming += 1
+        try:
+            confirmed = await self._put(service=service, old=lead, new=lead)
+        finally:
+            self.confirming -= 1
+        if confirmed:
             self.fenced.discard(service)
             self.paused[service] = {each.name for each in self._members(service=service)} - {lead.primary}
 
@@ -203,7 +211,7 @@
                 await self._finish(service=service, lead=lead)
             elif reason := await self._must_move(service=service, lead=lead):
                 await self._move(service=service, lead=lead, reason=reason)
-            elif service.name in self.fenced:
+            elif service.name in self.fenced and self.confirming < CONFIRMED_AT_ONCE:
                 await self._confirm(service=service.name, lead=lead)
             elif self.paused.get(service.name) and service.name not in self.resuming:
                 self.resuming.add(service.name)
--- a/src/cinderstair/vault/register_view.py
+++ b/src/cinderstair/vault/register_view.py
@@ -1,5 +1,6 @@
 """A view of the register: pulled by version, and current for a bounded time."""
 
+import asyncio
 from typing import Any
 
 from expression import Result
@@ -16,6 +17,7 @@
 PULL_EVERY_US = 200_000
 # why: no setting, since whoever moves a lead waits for all views by its own figure, so all must have the same
 LEASE_US = 2_000_000
+TOGETHER = 64
 
 
 class RegisterView(OwnerMixin):
@@ -44,13 +46,16 @@
         if highest.is_error():
             self.ctx.counters.add(name="view.missed")
             return False
-        for key, ballot in highest.ok.items():
-            known = self.known.get(key)
-            if known is not None and known.ballot >= ballot:
-                continue
-            found = await self.register.read(key=key)
-            if found.is_error() or not self._take(key=key, found=found.ok):
-                return False
+        lacking = [
+            key for key, ballot in highest.ok.items() if key not in self.known or self.known[key].ballot < ballot
+        ]
+        # why: one after the other, a thousand keys that change at once would hold the view up for their journeys' sum
+        for first in range(0, len(lacking), TOGETHER):
+            keys = lacking[first : first + TOGETHER]
+            founds = await asyncio.gather(*(self.register.read(key=key) for key in keys))
+            for key, found in zip(keys, founds, strict=True):
+                if found.is_error() or not self._take(key=key, found=found.ok):
+                    return False
         # why: counted from the round's start, since anything may have been written the moment after it
         self.asOfUs = max(self.asOfUs, startUs)
         self.ctx.counters.add(name="view.pulls")
--- /dev/null
+++ b/steps/capacitysteps.py
@@ -0,0 +1,415 @@
+"""Steps for the slopes and the reckoning of what a large system costs."""
+
+import json
+import math
+import random
+import time
+from typing import Any
+
+from behave import given, then, when
+from common import run
+
+from cinderstair.booth.booth import Booth
+from cinderstair.booth.statement import Statement, Verb
+from cinderstair.fairground.capacity.child import metered_context
+from cinderstair.fairground.capacity.fit import least_squares, plainest
+from cinderstair.fairground.capacity.hollow_link import HollowLink, hollow_dialer
+from cinderstair.fairground.capacity.made_up import whole_answer
+from cinderstair.fairground.capacity.reading import Reading, read_reading
+from cinderstair.fairground.capacity.reckoning import Reckoning
+from cinderstair.fairground.capacity.results import Results
+from cinderstair.fairground.capacity.run import Run
+from cinderstair.fairground.capacity.sample import gathered, read_sample
+from cinderstair.fairground.capacity.spread import spread_of
+from cinderstair.fairground.capacity.step import Step, read_step
+from cinderstair.fairground.capacity.users_size import UsersSize
+from cinderstair.pitch.nodisk import NoDisk
+
+SECOND = 1_000_000
+
+
+def numbers(*, text: str) -> list[int]:
+    return [int(part) for part in text.replace(" and ", ", ").split(", ")]
+
+
+def reading(*, at_s: float, **values: int) -> Reading:
+    return Reading(**{"at_us": int(at_s * SECOND), "cpu_us": 0, "rss_bytes": 30_000_000, **values})
+
+
+# -- the fit --
+
+
+@given("steps of {booths} booths with {databases} databases each")
+def given_steps(context: Any, booths: str, databases: str) -> None:
+    context.steps = [
+        Step(guildhalls=5, booths=n, databases=d) for n in numbers(text=booths) for d in numbers(text=databases)
+    ]
+
+
+@given("a cost of {base:g} and {more:g} more for each database")
+def given_by_database(context: Any, base: float, more: float) -> None:
+    context.values = [base + more * step.databases for step in context.steps]
+
+
+@given("a cost of {base:g} and {more:g} more for each booth")
+def given_by_booth(context: Any, base: float, more: float) -> None:
+    context.values = [base + more * step.booths for step in context.steps]
+
+
+@given("a cost of {base:g} and {more:g} more for each booth and database")
+def given_by_both(context: Any, base: float, more: float) -> None:
+    context.values = [base + more * step.booths * step.databases for step in context.steps]
+
+
+@given("noise of {parts:d} in a hundred from seed {seed:d}")
+def given_noise(context: Any, parts: int, seed: int) -> None:
+    luck = random.Random(seed)
+    context.values = [value * (1 + luck.gauss(0, parts / 100)) for value in context.values]
+
+
+@given("the largest step costs half as much again")
+def given_largest(context: Any) -> None:
+    context.values[-1] *= 1.5
+
+
+@when("the plainest of {terms} is fitted")
+def when_plainest(context: Any, terms: str) -> None:
+    context.fit = plainest(steps=context.steps, values=context.values, terms=terms.split(", "))
+
+
+@when("{terms} are fitted")
+def when_fitted(context: Any, terms: str) -> None:
+    context.fit = least_squares(steps=context.steps, values=context.values, terms=terms.split(", "))
+
+
+@then("the fit holds {one} at {first:g} and {other} at {second:g}, and nothing else")
+def then_holds(context: Any, one: str, first: float, other: str, second: float) -> None:
+    found = context.fit.coefficients
+    assert set(found) == {one, other}, found
+    assert math.isclose(found[one], first, rel_tol=1e-6) and math.isclose(found[other], second, rel_tol=1e-6), found
+
+
+@then("the fit holds {one} between {least:g} and {most:g}")
+def then_between(context: Any, one: str, least: float, most: float) -> None:
+    assert least < context.fit.coefficients[one] < most, context.fit.coefficients
+
+
+@then("the fit holds {one} alone")
+def then_alone(context: Any, one: str) -> None:
+    assert set(context.fit.coefficients) == {one}, context.fit.coefficients
+
+
+@then("every standard error is below {most:g}")
+def then_errors(context: Any, most: float) -> None:
+    assert all(error < most for error in context.fit.errors.values()), context.fit.errors
+
+
+@then("no standard error is known")
+def then_no_errors(context: Any) -> None:
+    assert all(math.isnan(error) for error in context.fit.errors.values()), context.fit.errors
+
+
+@then("the fit holds {one} and {other} within {count:d} standard errors of {first:g} and {second:g}")
+def then_within(context: Any, one: str, other: str, count: int, first: float, second: float) -> None:
+    fit = context.fit
+    assert set(fit.coefficients) == {one, other}, fit.coefficients
+    for name, truth in ((one, first), (other, second)):
+        gap = abs(fit.coefficients[name] - truth)
+        assert 0 < gap <= count * fit.errors[name], (name, fit.coefficients, fit.errors)
+
+
+@then("what it says at {booths:d} booths and {databases:d} databases is within {count:d} spreads of {truth:g}")
+def then_says(context: Any, booths: int, databases: int, count: int, truth: float) -> None:
+    step = Step(guildhalls=5, booths=booths, databases=databases)
+    gap, spread = abs(context.fit.at(step=step) - truth), context.fit.spread(step=step)
+    assert gap <= count * spread < truth, (gap, spread)
+
+
+@then("a fit of {terms} is refused")
+def then_refused(context: Any, terms: str) -> None:
+    try:
+        least_squares(steps=context.steps, values=context.values, terms=terms.split(", "))
+    except ValueError:
+        return
+    raise AssertionError("it was fitted")
+
+
+# -- samples --
+
+
+def both(*, context: Any, phase: str, events: int, seconds: float, count: int, cpu_ms: int) -> Any:
+    before = [reading(at_s=100), reading(at_s=200)]
+    after = [
+        reading(at_s=at + seconds, bytes_in=count, cpu_us=cpu_ms * 1_000, rss_bytes=31_000_000) for at in (100, 200)
+    ]
+    return gathered(
+        step=context.step, phase=phase, role="booth", things=10, events=events, before=before, after=after
+    )
+
+
+@given("two booth processes of 5 booths each that idle {seconds:d} s with {count:d} bytes and {cpu_ms:d} ms each")
+def given_idle(context: Any, seconds: int, count: int, cpu_ms: int) -> None:
+    context.step = Step(guildhalls=5, booths=10, databases=3)
+    context.idle = both(context=context, phase="idle", events=0, seconds=seconds, count=count, cpu_ms=cpu_ms)
+
+
+@given("a phase of {seconds:d} s with {events:d} events in which each takes {count:d} bytes and {cpu_ms:d} ms")
+def given_phase(context: Any, seconds: int, events: int, count: int, cpu_ms: int) -> None:
+    context.sample = both(
+        context=context, phase="primary", events=events, seconds=seconds, count=count, cpu_ms=cpu_ms
+    )
+
+
+@then("an idle booth takes {count:d} bytes and {cpu_us:d} microseconds a second")
+def then_idle(context: Any, count: int, cpu_us: int) -> None:
+    found = context.idle.rate(name="bytes_in"), context.idle.rate(name="cpu_us")
+    assert found == (count, cpu_us), found
+    assert context.idle.added.rss_bytes == 62_000_000, context.idle.added
+
+
+@then("an event gives each booth {count:d} bytes and {cpu_us:d} microseconds")
+def then_event(context: Any, count: int, cpu_us: int) -> None:
+    sample, idle = context.sample, context.idle
+    found = sample.each(name="bytes_in", idle=idle), sample.each(name="cpu_us", idle=idle)
+    assert found == (count, cpu_us), found
+
+
+@then("the sample comes back from its line as it was")
+def then_line(context: Any) -> None:
+    assert read_sample(value=json.loads(json.dumps(context.sample.value()))) == context.sample
+
+
+@then("a reading before the one it is taken from is refused")
+def then_back(context: Any) -> None:
+    try:
+        reading(at_s=1).since(before=reading(at_s=2))
+    except ValueError:
+        return
+    raise AssertionError("time went back")
+
+
+@then("a reading without its bytes is refused")
+def then_lacking(context: Any) -> None:
+    value = reading(at_s=1).value()
+    del value["bytes_in"]
+    try:
+        read_reading(value=value)
+    except ValueError:
+        return
+    raise AssertionError("it was read")
+
+
+@then("a phase that lacks a process's second reading is refused")
+def then_phase_lacking(context: Any) -> None:
+    step = Step(guildhalls=5, booths=10, databases=3)
+    before, after = [reading(at_s=1), reading(at_s=1)], [reading(at_s=2)]
+    for early, late in ((before, after), ([], [])):
+        try:
+            gathered(step=step, phase="idle", role="booth", things=10, events=0, before=early, after=late)
+        except ValueError as error:
+            assert "before and after" in str(error), error
+            continue
+        raise AssertionError("it was gathered")
+
+
+# -- a made-up run --
+
+
+def made_up_line(*, step: Step, phase: str, events: int, bytes_each: int, busy: float = 0.1) -> dict[str, Any]:
+    seconds = 10
+    before, after = (
+        reading(at_s=0),
+        reading(
+            at_s=seconds,
+            bytes_in=bytes_each * step.booths,
+            records_in=40 * step.booths,
+            cpu_us=int(busy * seconds * SECOND),
+        ),
+    )
+    return gathered(
+        step=step, phase=phase, role="booth", things=step.booths, events=events, before=[before], after=[after]
+    ).value()
+
+
+@given("a run of made-up samples in which a booth idles at {count:d} bytes a second")
+def given_run(context: Any, count: int) -> None:
+    context.steps = [Step(guildhalls=5, booths=n, databases=d) for n, d in ((10, 3), (10, 30), (30, 10), (100, 30))]
+    context.lines = [made_up_line(step=step, phase="idle", events=0, bytes_each=10 * count) for step in context.steps]
+
+
+@given("one more step whose booths were busy for {parts:d} in a hundred and carried {count:d} bytes a second")
+def given_busy(context: Any, parts: int, count: int) -> None:
+    step = Step(guildhalls=5, booths=300, databases=100)
+    context.lines.append(made_up_line(step=step, phase="idle", events=0, bytes_each=10 * count, busy=parts / 100))
+
+
+@given(
+    "one more step that idles at {count:d} bytes a second with {quiet:d} backends quiet"
+    " and {late:d} of 100 beats late"
+)
+def given_shed(context: Any, count: int, quiet: int, late: int) -> None:
+    step = Step(guildhalls=5, booths=10, databases=1000)
+    context.lines += [
+        {"kind": "load"},
+        made_up_line(step=step, phase="idle", events=0, bytes_each=10 * count),
+        {"kind": "time", **step.value(), "what": "whole", "quiet": quiet, "beats": {"sent": 100, "late": late}},
+    ]
+
+
+@given("a configuration takes {count:d} bytes for each database at each booth")
+def given_configuration(context: Any, count: int) -> None:
+    lines = []
+    for step, idle in zip(context.steps, context.lines, strict=True):
+        # why: two of them in ten seconds, over the 400 bytes a second that are there anyway
+        bytes_each = 4_000 + 2 * count * step.databases
+        lines += [idle, made_up_line(step=step, phase="configuration", events=2, bytes_each=bytes_each)]
+    context.lines = lines
+
+
+@given("a configuration there takes {count:d} bytes")
+def given_there(context: Any, count: int) -> None:
+    step = Step(guildhalls=5, booths=300, databases=100)
+    context.lines.append(made_up_line(step=step, phase="configuration", events=2, bytes_each=100 + 2 * count))
+
+
+@then("the bytes of a configuration are fitted to {count:d} for each database from {points:d} points")
+def then_configuration(context: Any, count: int, points: int) -> None:
+    fit = Results(lines=context.lines).slopes["booth bytes a configuration"]
+    assert fit.points == points and math.isclose(fit.coefficients["D"], count), fit
+
+
+@then("the booths' idle bytes are fitted to {count:d} from {points:d} points")
+def then_fitted(context: Any, count: int, points: int) -> None:
+    fit = Results(lines=context.lines).slopes["booth idle bytes"]
+    assert fit.points == points and math.isclose(fit.coefficients["1"], count) and len(fit.coefficients) == 1, fit
+
+
+@when("the users' size is reckoned")
+def when_reckoned(context: Any) -> None:
+    reckoning = Reckoning(results=Results(lines=context.lines), size=UsersSize())
+    context.rows = {(row.role, row.what): row for row in reckoning.rows}
+
+
+@then("a booth's idle bytes are {count:d} a second and held")
+def then_row_held(context: Any, count: int) -> None:
+    row = context.rows["booth", "bytes, idle"]
+    assert math.isclose(row.reckoned, count) and row.factor < 1 and row.verdict.startswith("held"), row
+
+
+@then("its bytes for configurations are {count:d} a second and broken by {factor:g}")
+def then_row_broken(context: Any, count: int, factor: float) -> None:
+    row = context.rows["booth", "bytes for configurations"]
+    assert math.isclose(row.reckoned, count, rel_tol=1e-3), row
+    assert row.verdict == f"broken x{factor}", row.verdict
+
+
+@then("there is no row that a slope is lacking for")
+def then_rows(context: Any) -> None:
+    assert not any(math.isnan(row.reckoned) for row in context.rows.values()), context.rows
+    assert ("guildhall", "processor, idle") not in context.rows
+    assert ("booth", "bytes, all") not in context.rows
+
+
+# -- times, steps, bounds --
+
+
+@then("times of 1 to 100 spread to a median of {median:d}, a p99 of {p99:d} and a most of {most:d}")
+def then_spread(context: Any, median: int, p99: int, most: int) -> None:
+    times = [float(each) for each in range(1, 101)]
+    random.Random(1).shuffle(times)
+    found = spread_of(times=times)
+    assert (found.median, found.p99, found.most, found.count, found.missing) == (median, p99, most, 100, 0), found
+
+
+@then("with {count:d} that never saw it the spread says so")
+def then_missing(context: Any, count: int) -> None:
+    found = spread_of(times=[1.0, 2.0], missing=count)
+    assert found.missing == count and found.count == 2 and found.most == 2.0, found
+
+
+@then("no times at all are no figures")
+def then_nothing(context: Any) -> None:
+    found = spread_of(times=[], missing=2)
+    assert found.count == 0 and math.isnan(found.median) and math.isnan(found.most), found
+
+
+@then("the step {text} is {meaning}")
+def then_step(context: Any, text: str, meaning: str) -> None:
+    try:
+        found = str(read_step(text=text))
+    except ValueError:
+        found = "refused"
+    assert found == meaning, found
+
+
+@given("a run that may use {cores:d} cores and has {seconds:d} s left")
+def given_bounds(context: Any, cores: int, seconds: int) -> None:
+    context.bounds = Run(
+        steps=(),
+        seconds=seconds,
+        cores=cores,
+        most_bytes=1 << 40,
+        seed=1,
+        say=lambda text: None,
+        record=lambda value: None,
+    )
+
+
+@when("a booth of a step with {booths:d} booths and {databases:d} databases was seen to idle at {cores:g} cores")
+def when_seen(context: Any, booths: int, databases: int, cores: float) -> None:
+    step = Step(guildhalls=5, booths=booths, databases=databases)
+    context.bounds.booth_cores.append((step, cores))
+
+
+@then("a step of {booths:d} booths and {databases:d} databases may begin")
+def then_may(context: Any, booths: int, databases: int) -> None:
+    why = context.bounds.unfit(step=Step(guildhalls=5, booths=booths, databases=databases))
+    assert not why, why
+
+
+@then('a step of {booths:d} booths and {databases:d} databases may not, since "{reason}"')
+def then_may_not(context: Any, booths: int, databases: int, reason: str) -> None:
+    why = context.bounds.unfit(step=Step(guildhalls=5, booths=booths, databases=databases))
+    assert why == reason, why
+
+
+@then('with {seconds:d} s left a step of {booths:d} booths and {databases:d} databases may not, since "{reason}"')
+def then_late(context: Any, seconds: int, booths: int, databases: int, reason: str) -> None:
+    context.bounds.until = time.monotonic() + seconds
+    why = context.bounds.unfit(step=Step(guildhalls=5, booths=booths, databases=databases))
+    assert why == reason, why
+
+
+# -- hollow links --
+
+
+@given("a made-up booth before {databases:d} databases")
+def given_booth(context: Any, databases: int) -> None:
+    async def made() -> Booth:
+        ctx = metered_context(name="booth-0000", site="e1", disk=NoDisk(), seed=1)
+        booth = Booth(ctx=ctx, site="e1", seeds=tuple, dialer=hollow_dialer, distance=lambda site: 0)
+        booth.view._take(answer=whole_answer(booths=2, databases=databases, guildhalls=3))
+        return booth
+
+    context.booth = run(context=context, work=made())
+
+
+@when("a session reads, writes and runs a transaction")
+def when_session(context: Any) -> None:
+    booth = context.booth
+
+    async def work() -> list[Any]:
+        booth.view.as_of_us = booth.ctx.nowUs()
+        session = booth.open(database="ledger-0000.pool.example")
+        verbs = (Verb.read, Verb.write, Verb.begin, Verb.read, Verb.write, Verb.commit)
+        return [await session.run(statement=Statement(ident=b"1", verb=verb, text=b"x")) for verb in verbs]
+
+    context.replies = run(context=context, work=work())
+
+
+@then("every answer is without fault and the links are hollow ones")
+def then_answers(context: Any) -> None:
+    assert [reply.fault for reply in context.replies] == [None] * 6, context.replies
+    links = [link for pool in context.booth.router.pools.values() for link in pool.idle]
+    assert links and all(isinstance(link, HollowLink) for link in links), links
+    context.booth.stop()
