--- a/src/cinderstair/booth/link_pool.feature
+++ b/src/cinderstair/booth/link_pool.feature
@@ -111,13 +111,13 @@
     And links that are lent
     When 1 ask for a link
     And all links are given back
-    And 2000 ms pass at the pool
+    And 300 ms pass at the pool
     And 1 ask for a link
     Then 1 links are open and 1 were dialled
     When all links are given back
-    And 2400 ms pass at the pool
+    And 350 ms pass at the pool
     Then 1 links are open and 1 were dialled
-    When 200 ms pass at the pool
+    When 100 ms pass at the pool
     Then 0 links are open and 1 were dialled
     And the backend was blamed 0 times
     When 1 ask for a link
@@ -129,7 +129,7 @@
     And a backend that was full just now
     When 1 ask for a link
     And all links are given back
-    And 250 ms pass at the pool
+    And 150 ms pass at the pool
     Then 1 links are open and 1 were dialled
     When 100 ms pass at the pool
     Then 0 links are open and 1 were dialled
--- a/src/cinderstair/booth/link_pool.py
+++ b/src/cinderstair/booth/link_pool.py
@@ -21,7 +21,7 @@
 OWED_US = 2_500_000
 FULL_US = 25_000
 # why: a link that is kept spares a new one; where the backend was full lately others want it more
-SCARCE_US, SHORT_US, LONG_US = 3_000_000, 300_000, 2_500_000
+SCARCE_US, SHORT_US, LONG_US = 3_000_000, 200_000, 400_000
 
 
 class LinkPool:
