--- a/src/cinderstair/booth/relayed_view.py
+++ b/src/cinderstair/booth/relayed_view.py
@@ -7,6 +7,7 @@
 from reactivex.subject import Subject
 
 from ..charter.service_plan import PLAN_KEY, ServicePlan, read_service_plan
+from ..crier.announcement import GONE
 from ..crier.relay_record import (
     RelayAnswer,
     RelayedBackend,
@@ -31,6 +32,11 @@
 LEASE_US = 1_000_000
 
 
+def gone(*, entry: RelayedBackend) -> bool:
+    """Whether a backend that is no longer named need not be kept."""
+    return entry.quiet or entry.announcement.state == GONE
+
+
 class RelayedView:
     """What it says of leads counts only while it is current; the lists may be used for longer."""
 
@@ -156,7 +162,9 @@
             self.guildhalls = answer.guildhalls
         if answer.whole:
             named = {entry.announcement.name for entry in answer.backends}
-            for name in [name for name in self.backends if name not in named]:
+            # why: a guildhall that has just begun knows few of those that are there; who is not heard goes
+            lost = [name for name, entry in self.backends.items() if name not in named and gone(entry=entry)]
+            for name in lost:
                 del self.backends[name]
         for entry in answer.backends:
             known = self.backends.get(entry.announcement.name)
@@ -166,7 +174,7 @@
         for value in answer.values:
             self._take_value(entry=value)
         self.source, self.edition = answer.source, answer.edition
-        if answer.backends:
+        if answer.backends or answer.whole:
             self.changes.on_next("backends")
 
     def _take_value(self, *, entry: RelayedValue) -> None:
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -284,9 +284,13 @@
     def copies(self, *, service: str) -> list[LinkPool]:
         """The share's copies that may be read from, nearest first, those in trouble last."""
         pools = [self.pools[name] for name in self.shares.get(service, ()) if name in self.pools]
-        usable = [pool for pool in pools if not pool.closed and not self.view.backends[pool.backend.name].quiet]
+        usable = [pool for pool in pools if not pool.closed and not self._quiet(name=pool.backend.name)]
         return sorted(usable, key=self._cost)
 
+    def _quiet(self, *, name: str) -> bool:
+        entry = self.view.backends.get(name)
+        return entry is None or entry.quiet
+
     def _cost(self, pool: LinkPool) -> tuple[bool, int, int]:
         return pool.trouble, self.distance(pool.backend.site) + pool.load // 4, pool.load
 
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/__init__.py
@@ -0,0 +1,1 @@
+"""A simulated platform around booths and guildhalls: clients, backends, operators and streams on virtual time."""
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/attempt.py
@@ -0,0 +1,22 @@
+"""One try of one operation."""
+
+from dataclasses import dataclass, field
+
+from .asked import Asked
+
+
+@dataclass(eq=False, kw_only=True)
+class Attempt:
+    """`place` is the backend connection that ran the transaction's first statement."""
+
+    client: str
+    session: int
+    database: str
+    in_transaction: bool
+    read_only: bool
+    asked: list[Asked] = field(default_factory=list)
+    promises: list[str] = field(default_factory=list)
+    outcome: str = ""
+    commit_sent: bool = False
+    commit_asked: bool = False
+    place: object | None = None
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/config_trials.py
@@ -0,0 +1,71 @@
+"""Trials of configurations: in a race, in quick succession, older again, and invalid."""
+
+import json
+from typing import Any
+
+from .lead_trials import BACK_MS
+from .platform_world import PlatformWorld
+
+
+def spoiled(*, world: PlatformWorld, body: bytes) -> bytes:
+    """Something invalid that looks like a configuration of a high version."""
+    document: dict[str, Any] = json.loads(body)
+    routes = document["routes"]
+    route = world.luck.choice(routes)
+    way = world.luck.randrange(7)
+    if way == 0:
+        return body[: world.luck.randrange(1, len(body))]
+    if way == 1:
+        route["target"] = "nobody"
+    elif way == 2:
+        routes.append(dict(route, name="again"))
+    elif way == 3:
+        route["give_up_ms"] = 0
+    elif way == 4:
+        document["revision"] = "many"
+    elif way == 5:
+        del document["services"]
+    else:
+        route["sort"] = "whatever"
+    return json.dumps(document).encode()
+
+
+def configurations(world: PlatformWorld) -> None:
+    """Routes come and go; two operators send at once; older ones arrive once more; some are invalid."""
+    versions = iter(range(7, 1_000, 6))
+    extra: set[str] = set()
+    world.prober.databases.extend(["extra-0", "extra-1", "extra-2"])
+    world.prober.pause_s = 0.1
+    bodies: list[bytes] = [world.configuration(version=3)]
+    for _ in range(5):
+        for _ in range(world.luck.choice((1, 1, 2))):
+            extra ^= {world.luck.choice(("extra-0", "extra-1", "extra-2"))}
+            body = world.configuration(
+                version=next(versions), extra=tuple(sorted(extra)), give_up_ms=world.luck.randrange(700, 1_200)
+            )
+            bodies.append(body)
+            world.put(body=body)
+            if world.luck.random() < 0.5:
+                world.put(body=body)
+        if world.luck.random() < 0.6:
+            world.put(body=spoiled(world=world, body=world.configuration(version=5_000)), valid=False)
+        if world.luck.random() < 0.6:
+            world.put(body=world.luck.choice(bodies))
+        world.advance(for_ms=world.luck.choice((50, 400, 3_400)))
+    # why: the oldest of all arrives once more, when everything else has been answered
+    world.advance(for_ms=1_000)
+    world.put(body=bodies[0])
+    world.advance(for_ms=3_500)
+
+
+def configurations_under_kills(world: PlatformWorld) -> None:
+    """As routes come and go, guildhalls are killed right after they have acknowledged something."""
+    world.prober.databases.extend(["extra-0", "extra-1"])
+    extra: set[str] = set()
+    for version in (11, 12, 20):
+        extra ^= {world.luck.choice(("extra-0", "extra-1"))}
+        task = world.put(body=world.configuration(version=version, extra=tuple(sorted(extra))))
+        world.await_that(test=task.done, within_ms=BACK_MS, what=f"version {version} is answered")
+        world.kill(name=world.luck.choice(world.guildhalls), again_us=world.luck.choice((300_000, 1_500_000)))
+        world.advance(for_ms=world.luck.choice((100, 3_000)))
+    world.advance(for_ms=5_000)
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/lead_trials.py
@@ -0,0 +1,286 @@
+"""Trials in which the lead of a service moves, or ought to."""
+
+from unittest.mock import patch
+
+from ...vault.lease import Lease
+from .platform_world import PlatformWorld
+
+BACK_MS = 20_000
+
+
+def moved(*, world: PlatformWorld, old: str, service: str = "ledger0", within_ms: int = BACK_MS) -> None:
+    """Waits until another backend leads, and every booth that is there knows it."""
+    world.await_that(
+        test=lambda: world.primary(service=service).name != old
+        and world.primary(service=service).up
+        and world.serves(),
+        within_ms=within_ms,
+        what=f"another than {old} leads {service}",
+    )
+
+
+def holder(*, world: PlatformWorld) -> str:
+    """The guildhall that holds the duty of promotions."""
+    return next(
+        (name for name in world.guildhalls if name in world.roles and world.roles[name].guildhall.duty.lease.held),
+        world.guildhalls[0],
+    )
+
+
+def calm_day(world: PlatformWorld) -> None:
+    world.advance(for_ms=6_000)
+
+
+def primary_crash(world: PlatformWorld) -> None:
+    world.advance(for_ms=world.luck.randrange(1_000, 2_000))
+    old = world.primary()
+    world.crash(backend=old, again_us=world.luck.choice((700_000, 3_000_000, 5_000_000, None)))
+    world.advance(for_ms=7_000)
+    world.await_that(test=world.serves, within_ms=BACK_MS, what="the service is back")
+    world.advance(for_ms=1_000)
+
+
+def dark_primary(world: PlatformWorld) -> None:
+    world.advance(for_ms=world.luck.randrange(1_000, 2_000))
+    old = world.primary()
+    world.crash(backend=old, dark=True, again_us=world.luck.choice((8_000_000, None)))
+    moved(world=world, old=old.name)
+    world.advance(for_ms=2_500)
+
+
+def primary_crash_copy_deaf(world: PlatformWorld) -> None:
+    """One copy receives nothing for a while, and the primary crashes meanwhile."""
+    world.advance(for_ms=1_000)
+    deaf = world.luck.choice(world.copies())
+    deaf.deaf = True
+    world.advance(for_ms=world.luck.randrange(300, 1_500))
+    old = world.primary()
+    world.crash(backend=old, again_us=world.luck.choice((6_000_000, None)))
+    world.advance(for_ms=world.luck.randrange(200, 2_500))
+    deaf.deaf = False
+    moved(world=world, old=old.name)
+    world.advance(for_ms=2_500)
+
+
+def copies_lag(world: PlatformWorld) -> None:
+    """Copies fall far behind in what they have applied, or receive nothing, and then the primary crashes."""
+    world.advance(for_ms=1_000)
+    for copy in world.copies():
+        copy.lag_us = world.luck.randrange(500_000, 3_000_000)
+    for copy in world.copies(service="ledger1"):
+        copy.lag_us = world.luck.randrange(500_000, 3_000_000)
+    world.advance(for_ms=3_000)
+    deaf = world.luck.choice(world.copies())
+    deaf.deaf = True
+    world.advance(for_ms=2_500)
+    for copy in world.backends.values():
+        copy.lag_us, copy.deaf = 0, False
+    old = world.primary()
+    world.crash(backend=old, again_us=6_000_000)
+    moved(world=world, old=old.name)
+    world.advance(for_ms=1_500)
+
+
+def copy_crash(world: PlatformWorld) -> None:
+    world.advance(for_ms=1_200)
+    dark = world.luck.random() < 0.5
+    world.crash(backend=world.luck.choice(world.copies()), dark=dark, again_us=4_000_000)
+    world.advance(for_ms=8_000)
+
+
+def release_primary(world: PlatformWorld) -> None:
+    world.advance(for_ms=world.luck.randrange(800, 1_600))
+    old = world.primary()
+    world.release(backend=old)
+    moved(world=world, old=old.name, within_ms=8_000)
+    world.await_that(test=lambda: not old.up, within_ms=15_000, what="the released primary ends")
+    world.advance(for_ms=2_500)
+
+
+def leaving_primary_crash(world: PlatformWorld) -> None:
+    """A primary says that it leaves, and crashes before anybody has taken its place."""
+    world.advance(for_ms=world.luck.randrange(300, 1_300))
+    old = world.primary()
+    old.emptying = True
+    old.on_change()
+    world.advance(for_ms=world.luck.randrange(20, 1_200))
+    world.crash(backend=old, dark=world.luck.random() < 0.5, again_us=None)
+    moved(world=world, old=old.name, within_ms=12_000)
+    world.advance(for_ms=2_500)
+
+
+def release_primary_copies_deaf(world: PlatformWorld) -> None:
+    """A primary is to be replaced while no copy receives anything, or while one copy is dark."""
+    world.advance(for_ms=world.luck.randrange(300, 1_300))
+    old = world.primary()
+    copies = world.copies()
+    dark = world.luck.random() < 0.5
+    if dark:
+        world.crash(backend=world.luck.choice(copies), dark=True, again_us=6_000_000)
+    else:
+        for copy in copies:
+            copy.deaf = True
+    world.advance(for_ms=world.luck.randrange(100, 800))
+    world.release(backend=old)
+    world.advance(for_ms=world.luck.randrange(500, 3_000))
+    for copy in copies:
+        copy.deaf = False
+    moved(world=world, old=old.name, within_ms=12_000)
+    world.advance(for_ms=3_000)
+
+
+def release_both(world: PlatformWorld) -> None:
+    """A primary and a copy are to be replaced at about the same time."""
+    world.advance(for_ms=world.luck.randrange(300, 1_300))
+    old, copy = world.primary(), world.luck.choice(world.copies())
+    first, second = world.luck.sample((old, copy), 2)
+    world.release(backend=first)
+    world.advance(for_ms=world.luck.randrange(0, 1_500))
+    world.release(backend=second)
+    moved(world=world, old=old.name, within_ms=12_000)
+    world.await_that(test=lambda: not old.up and not copy.up, within_ms=15_000, what="both end")
+    world.advance(for_ms=2_500)
+    world.await_that(test=world.serves, within_ms=BACK_MS, what="the service is back")
+
+
+def release_copies(world: PlatformWorld) -> None:
+    world.advance(for_ms=world.luck.randrange(800, 1_600))
+    old, other = world.luck.choice(world.copies()), world.luck.choice(world.copies(service="ledger1"))
+    world.release(backend=old)
+    world.release(backend=other)
+    world.await_that(test=lambda: not old.up and not other.up, within_ms=15_000, what="the released copies end")
+    world.advance(for_ms=2_500)
+
+
+def holder_killed(world: PlatformWorld) -> None:
+    """Whoever holds the duty dies in the middle of a move, at one of several moments."""
+    world.advance(for_ms=world.luck.randrange(500, 1_500))
+    old = world.primary()
+    moment = world.luck.choice(("examining", "fencing", "moving", "promoting", "leading"))
+    service = world.services["ledger0"]
+    if world.luck.random() < 0.3:
+        world.release(backend=old)
+    else:
+        # why: it comes back only when the move is surely over, since one that is back may rightly lead on
+        world.crash(backend=old, again_us=world.luck.choice((12_000_000, None)))
+
+    def come() -> bool:
+        name = holder(world=world)
+        duty = world.roles[name].guildhall.duty if name in world.roles else None
+        lead = None if duty is None else duty.leads.get("ledger0")
+        return {
+            "examining": duty is not None and bool(duty.suspects_us or duty.tending),
+            "fencing": any(each.paused for each in service.backends.values()),
+            "moving": lead is not None and lead.state == 2,
+            "promoting": any(call[1] == "ledger0" for call in world.platform.calls),
+            "leading": service.term > 1,
+        }[moment]
+
+    until_us = world.now_us + 12_000_000
+    while not come() and world.now_us < until_us:
+        world.advance(for_ms=5)
+    name = holder(world=world)
+    if world.luck.random() < 0.5:
+        world.kill(name=name, again_us=world.luck.choice((600_000, 4_000_000)))
+        moved(world=world, old=old.name)
+    else:
+        world.freeze(name=name)
+        world.advance(for_ms=world.luck.randrange(1_500, 6_000))
+        world.thaw(name=name)
+        moved(world=world, old=old.name)
+    world.advance(for_ms=3_000)
+
+
+def two_holders(world: PlatformWorld) -> None:
+    """Every guildhall takes itself for the holder of every duty, all the time."""
+    with patch.object(Lease, "held", property(lambda self: True)):
+        world.advance(for_ms=1_500)
+        old = world.primary()
+        if world.luck.random() < 0.5:
+            world.release(backend=old)
+        else:
+            world.crash(backend=old, again_us=6_000_000)
+        moved(world=world, old=old.name)
+        world.advance(for_ms=2_000)
+        other = world.primary(service="ledger1")
+        world.crash(backend=other, dark=True, again_us=8_000_000)
+        moved(world=world, old=other.name, service="ledger1")
+        world.advance(for_ms=2_000)
+
+
+def booth_cut_off(world: PlatformWorld) -> None:
+    """A booth reaches backends and clients, but no guildhall, while a lead moves."""
+    world.advance(for_ms=1_000)
+    booth = world.luck.choice(world.booths)
+    world.cut(ones=[booth], others=world.guildhalls)
+    world.advance(for_ms=world.luck.randrange(0, 1_500))
+    old = world.primary()
+    if world.luck.random() < 0.5:
+        world.release(backend=old)
+    else:
+        world.cut(ones=[old.name], others=[*world.guildhalls, *(b for b in world.booths if b != booth)])
+    world.await_that(test=lambda: world.primary() is not old, within_ms=BACK_MS, what="the lead moves")
+    world.advance(for_ms=2_500)
+    world.heal()
+    world.advance(for_ms=3_000)
+    world.await_that(test=world.serves, within_ms=BACK_MS, what="the booth is back")
+
+
+def booth_cut_off_unconfirmed(world: PlatformWorld) -> None:
+    """As before, where primaries wait for no copy, so that an old one could acknowledge alone."""
+    world.advance(for_ms=1_000)
+    booth = world.luck.choice(world.booths)
+    old = world.primary()
+    world.cut(ones=[booth], others=world.guildhalls)
+    world.cut(ones=[old.name], others=[*world.guildhalls, *(name for name in world.booths if name != booth)])
+    world.cut(ones=[old.name], others=[each.name for each in world.copies()])
+    world.await_that(test=lambda: world.primary() is not old, within_ms=BACK_MS, what="the lead moves")
+    world.advance(for_ms=2_500)
+    world.heal()
+    world.advance(for_ms=2_000)
+    world.await_that(test=world.serves, within_ms=BACK_MS, what="the booth is back")
+
+
+def primary_cut(world: PlatformWorld) -> None:
+    """A primary is cut off from its copies, from the guildhalls, or from some booths, and serves the rest."""
+    world.advance(for_ms=1_200)
+    old = world.primary()
+    way = world.luck.randrange(3)
+    if way == 0:
+        world.cut(ones=[old.name], others=[each.name for each in world.copies()])
+    elif way == 1:
+        world.cut(ones=[old.name], others=world.guildhalls)
+    else:
+        world.cut(ones=[old.name], others=[*world.booths[:2], *(each.name for each in world.copies())])
+    world.advance(for_ms=7_000)
+    world.heal()
+    world.await_that(test=world.serves, within_ms=BACK_MS, what="the service is back")
+    world.advance(for_ms=2_500)
+
+
+def platform_troubled(world: PlatformWorld) -> None:
+    """The platform's promotion call is down, or slow, while a primary is to be replaced."""
+    world.advance(for_ms=1_000)
+    old = world.primary()
+    world.platform.mode = world.luck.choice(("down", "slow"))
+    world.crash(backend=old, again_us=None)
+    world.advance(for_ms=world.luck.randrange(3_000, 7_000))
+    world.platform.mode = "up"
+    moved(world=world, old=old.name)
+    world.advance(for_ms=2_000)
+
+
+def candidate_crash(world: PlatformWorld) -> None:
+    """The backend that was named to lead crashes as well; then the first one comes back."""
+    world.advance(for_ms=1_000)
+    old = world.primary()
+    world.crash(backend=old, again_us=6_000_000)
+    world.await_that(
+        test=lambda: any(call[1] == "ledger0" for call in world.platform.calls), within_ms=BACK_MS, what="a promotion"
+    )
+    named = world.backends[next(call[2] for call in world.platform.calls if call[1] == "ledger0")]
+    world.advance(for_ms=world.luck.randrange(0, 900))
+    world.crash(backend=named, again_us=world.luck.choice((2_000_000, 5_000_000)))
+    world.advance(for_ms=3_000)
+    world.await_that(test=world.serves, within_ms=30_000, what="somebody leads")
+    world.advance(for_ms=3_000)
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/listener.py
@@ -0,0 +1,16 @@
+"""Who takes connections at an address."""
+
+import contextvars
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from ..virtualloop import Boot
+
+
+@dataclass(frozen=True, kw_only=True)
+class Listener:
+    host: str
+    boot: Boot | None
+    context: contextvars.Context
+    protocol: Callable[[], Any]
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/platform_client.py
@@ -0,0 +1,328 @@
+"""A client of the platform, with long sessions or short ones."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from .answer import Answer
+from .asked import Asked
+from .attempt import Attempt
+from .client_wire import ClientWire
+from .referee import PROMISES, Referee
+from .sim_streams import SimStreams
+from .stand_in_platform import StandInPlatform
+from .stand_in_service import StandInService
+from .stream_fabric import StreamFabric
+
+DEADLINE_US = 2_500_000
+GREET_US = 2_000_000
+TRIES = 3
+IDENTS = 1 << 62
+LEFT, UNOPENED, CUT, SILENT, DONE = "left", "unopened", "cut", "silent", "done"
+Step = tuple[str, bytes, int]
+
+
+class PlatformClient:
+    """Operates one database. Whatever it sends is known to the referee before it leaves."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        zone: str,
+        database: str,
+        services: dict[str, StandInService],
+        fabric: StreamFabric,
+        streams: SimStreams,
+        platform: StandInPlatform,
+        referee: Referee,
+        luck: random.Random,
+        think_us: int,
+        long: bool,
+        write_share: float,
+        transaction_share: float,
+        answered: Callable[[str, int, str], None],
+        dropped: Callable[[str, int, str], None],
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.database = database
+        self.services = services
+        self.fabric = fabric
+        self.streams = streams
+        self.platform = platform
+        self.referee = referee
+        self.luck = luck
+        self.think_us = think_us
+        self.long = long
+        self.write_share = write_share
+        self.transaction_share = transaction_share
+        self.answered = answered
+        self.dropped = dropped
+        self.stopped = False
+        self.wire: ClientWire | None = None
+        self.booth = ""
+        self.sessions = 0
+        self.session = 0
+        self.values: dict[bytes, bytes] = {}
+        self.shapes: dict[bytes, tuple[bytes, bool]] = {}
+        self.owed = 0
+        self.served = 0
+        self.waits_us: list[int] = []
+
+    @property
+    def now_us(self) -> int:
+        return self.fabric.now_us
+
+    async def run(self) -> None:
+        await asyncio.sleep(self.luck.randrange(self.think_us) / 1_000_000)
+        while not self.stopped:
+            await self._operate()
+            if not self.long or self.luck.random() < 0.02:
+                self._hang_up()
+            await asyncio.sleep(self.luck.randrange(self.think_us // 2, self.think_us * 3 // 2) / 1_000_000)
+        self._hang_up()
+
+    def _hang_up(self) -> None:
+        if self.wire is not None:
+            self.wire.close(farewell=True)
+        self.wire = None
+
+    # -- what it does --
+
+    def _statement(self, *, writes: bool) -> Step:
+        """A read or write, at times under a prepared name."""
+        thing = b"k%d" % self.luck.randrange(40)
+        if writes:
+            thing += b" %x" % self.luck.getrandbits(32)
+        names = sorted(name for name, (_, changes) in self.shapes.items() if changes == writes)
+        if names and self.luck.random() < 0.4:
+            return "write" if writes else "read", b"RUN " + self.luck.choice(names) + b" " + thing, 0
+        return "write" if writes else "read", (b"PUT " if writes else b"FETCH ") + thing, 0
+
+    def _draw(self) -> list[Step]:
+        """The steps of an operation, each with the pause before it."""
+        writes = self.luck.random() < self.write_share
+        if self.luck.random() >= self.transaction_share:
+            return [self._statement(writes=writes)]
+        steps: list[Step] = [("begin" if writes else "begin_read", b"BEGIN" if writes else b"BEGIN FETCH", 0)]
+        count = self.luck.randrange(1, 5)
+        for number in range(count):
+            kind, text, _ = self._statement(writes=writes and (number == 0 or self.luck.random() < 0.5))
+            steps.append((kind, text, self.luck.choice((0, 0, 20_000, 60_000, 150_000))))
+        fate = self.luck.random()
+        if fate < 0.03:
+            steps.append(("leave", b"", 30_000))
+        elif fate < 0.13:
+            steps.append(("undo", b"UNDO", 10_000))
+        else:
+            steps.append(("commit", b"COMMIT", self.luck.choice((0, 20_000))))
+        return steps
+
+    async def _operate(self) -> None:
+        began_us = self.now_us
+        # why: pauses of the client's own do not count against its deadline
+        until_us = began_us + DEADLINE_US
+        if self.wire is not None and self.wire.open and not await self._dress():
+            self._hang_up()
+        steps = self._draw()
+        self.owed += 1
+        served = False
+        for number in range(TRIES):
+            attempt = Attempt(
+                client=self.name,
+                session=self.session,
+                database=self.database,
+                in_transaction=len(steps) > 1,
+                read_only=not any(kind in ("write", "begin") for kind, *_ in steps),
+            )
+            attempt.outcome = await self._attempt(attempt=attempt, steps=steps, until_us=until_us)
+            if attempt.outcome == LEFT:
+                self.owed -= 1
+                return
+            served = attempt.outcome == DONE
+            wait_us = self.luck.randrange(40_000, 120_000) << number
+            if served or not self._again(attempt=attempt) or self.now_us + wait_us >= until_us:
+                break
+            await asyncio.sleep(wait_us / 1_000_000)
+        self.served += served
+        self.waits_us.append(self.now_us - began_us)
+        self.referee.recover.operated(began_us=began_us, served=served)
+
+    def _again(self, *, attempt: Attempt) -> bool:
+        if attempt.promises or attempt.outcome in PROMISES:
+            return True
+        if attempt.outcome == "FAILED":
+            return attempt.read_only
+        return not attempt.commit_sent
+
+    # -- sessions --
+
+    async def _open(self, *, until_us: int) -> bool:
+        """A session, with its values and names; False where none came to be."""
+        self.sessions += 1
+        self.booth = self.platform.assign(client=self.name, zone=self.zone, number=self.sessions)
+        opened = await self.streams.connect(
+            address=self.platform.fronts[self.booth],
+            protocol=lambda: ClientWire(client=self.name, referee=self.referee),
+            wait_us=min(GREET_US, max(1, until_us - self.now_us)),
+        )
+        if opened.is_error():
+            return False
+        self.wire = opened.ok
+        self.session = self.luck.getrandbits(60)
+        self.values, self.shapes = {}, {}
+        line = b"GREET " + self.database.encode() + b" " + self.name.encode()
+        answer = await self._answer(line=line, until_us=self.now_us + GREET_US, greeting=True)
+        if answer is None or answer.code or answer.state != b"I":
+            if answer is not None and answer.code:
+                self.referee.answers[f"greet {answer.code}"] += 1
+            self._hang_up()
+            return False
+        for number in range(self.luck.randrange(1, 3) if self.long else self.luck.randrange(2)):
+            if not await self._set(name=b"v%d" % number):
+                return False
+        for number in range(self.luck.randrange(1, 4) if self.long else 0):
+            if not await self._name(name=b"s%d" % number):
+                return False
+        return True
+
+    async def _dress(self) -> bool:
+        """Now and then a long session changes what it keeps."""
+        fate = self.luck.random()
+        if fate < 0.04:
+            return await self._set(name=b"v%d" % self.luck.randrange(3))
+        if fate < 0.07:
+            return await self._name(name=b"s%d" % self.luck.randrange(3))
+        if fate < 0.08 and self.shapes:
+            name = self.luck.choice(sorted(self.shapes))
+            answer = await self._plain(text=b"FORGET " + name)
+            if answer is not None and not answer.code:
+                del self.shapes[name]
+            return answer is not None and not answer.code
+        return True
+
+    async def _plain(self, *, text: bytes) -> Answer | None:
+        ident = b"%016x" % self.luck.randrange(IDENTS)
+        return await self._answer(line=b"ASK " + ident + b" " + text, until_us=self.now_us + GREET_US)
+
+    async def _set(self, *, name: bytes) -> bool:
+        value = b"%x" % self.luck.randrange(1 << 16)
+        answer = await self._plain(text=b"SET " + name + b" " + value)
+        if answer is None or answer.code or answer.state != b"I":
+            self._hang_up()
+            return False
+        self.values = {**self.values, name: value}
+        return True
+
+    async def _name(self, *, name: bytes) -> bool:
+        writes = self.luck.random() < 0.4
+        shape = b"q%d" % self.luck.randrange(6)
+        answer = await self._plain(text=b"NAME " + name + (b" PUT " if writes else b" FETCH ") + shape)
+        if answer is None or answer.code or answer.state != b"I":
+            self._hang_up()
+            return False
+        self.shapes = {**self.shapes, name: (shape, writes)}
+        return True
+
+    async def _answer(self, *, line: bytes, until_us: int, greeting: bool = False) -> Answer | None:
+        """None after silence or a cut, after which the session is closed."""
+        wire, asked_us = self.wire, self.now_us
+        assert wire is not None
+        try:
+            async with asyncio.timeout(max(0.001, (until_us - asked_us) / 1_000_000)):
+                answer = await wire.ask(line=line, greeting=greeting)
+            self.answered(self.booth, asked_us, line[:40].decode())
+            return answer
+        except TimeoutError:
+            wire.close()
+            return None
+        except ConnectionError:
+            self.dropped(self.booth, asked_us, line[:40].decode())
+            return None
+
+    # -- one try --
+
+    async def _attempt(self, *, attempt: Attempt, steps: list[Step], until_us: int) -> str:
+        if self.wire is None or not self.wire.open:
+            if not await self._open(until_us=until_us):
+                return UNOPENED
+        attempt.session = self.session
+        known = {text.split(b" ")[1] for _, text, _ in steps if text.startswith(b"RUN")}
+        if any(name not in self.shapes for name in known) or any(
+            self.shapes[text.split(b" ")[1]][1] != (kind == "write")
+            for kind, text, _ in steps
+            if text.startswith(b"RUN")
+        ):
+            # why: a new session has other names, and what ran under an old one is now sent in full
+            steps[:] = [self._in_full(step=step) for step in steps]
+        first_us = 0
+        for kind, text, pause_us in steps:
+            if pause_us:
+                await asyncio.sleep(pause_us / 1_000_000)
+                until_us += pause_us
+            if kind == "leave":
+                assert self.wire is not None
+                self.wire.close(farewell=self.luck.random() < 0.5)
+                return LEFT
+            first_us = first_us or self.now_us
+            outcome = await self._send(attempt=attempt, kind=kind, text=text, first_us=first_us, until_us=until_us)
+            if outcome != DONE:
+                return outcome
+        return DONE
+
+    def _in_full(self, *, step: Step) -> Step:
+        kind, text, pause_us = step
+        if not text.startswith(b"RUN"):
+            return step
+        rest = text.split(b" ", 2)[2]
+        return kind, (b"PUT " if kind == "write" else b"FETCH ") + rest, pause_us
+
+    async def _send(self, *, attempt: Attempt, kind: str, text: bytes, first_us: int, until_us: int) -> str:
+        ident = b"%016x" % self.luck.randrange(IDENTS)
+        runs = text.startswith(b"RUN")
+        asked = Asked(
+            ident=ident,
+            text=text,
+            kind=kind,
+            attempt=attempt,
+            sent_us=self.now_us,
+            first_us=first_us,
+            alone=not attempt.in_transaction,
+            booth=self.booth,
+            values=self.values,
+            shape=self.shapes[text.split(b" ")[1]] if runs else None,
+            rest=text.split(b" ", 2)[2] if runs else b"",
+        )
+        self.referee.asks(asked=asked)
+        attempt.asked.append(asked)
+        attempt.commit_asked |= kind == "commit"
+        attempt.commit_sent |= kind == "commit" or (kind == "write" and asked.alone)
+        answer = await self._answer(line=b"ASK " + ident + b" " + text, until_us=until_us)
+        if answer is None:
+            return CUT if self.wire is not None and self.wire.ended else SILENT
+        if answer.code:
+            return await self._failed(attempt=attempt, asked=asked, answer=answer)
+        if kind in ("read", "write", "commit"):
+            self.referee.mixed.succeeded(asked=asked, stamp=answer.stamp, rows=tuple(answer.rows))
+        if kind == "commit" or (kind == "write" and asked.alone):
+            writes = [each for each in attempt.asked if each.kind == "write"]
+            if writes:
+                self.referee.acknowledged(writes=writes, services=self.services, now_us=self.now_us)
+        ends = asked.alone or kind in ("commit", "undo")
+        if answer.state != (b"I" if ends else b"T"):
+            self.referee.wire.breach(what=f"{self.name}: {kind} leaves {answer.state!r}")
+            self._hang_up()
+        return DONE
+
+    async def _failed(self, *, attempt: Attempt, asked: Asked, answer: Answer) -> str:
+        self.referee.told(attempt=attempt, code=answer.code)
+        if answer.code == "UNNAMED" and asked.shape is not None:
+            self.referee.pinned.unnamed(client=self.name, name=asked.text.split(b" ")[1])
+        if answer.code == "GARBLED" and answer.state != b"E":
+            self.referee.wire.breach(what=f"{self.name}: {asked.text[:60]!r} is GARBLED in {answer.state!r}")
+        if answer.state != b"I":
+            undone = await self._plain(text=b"UNDO")
+            if undone is None or undone.code or undone.state != b"I":
+                self._hang_up()
+        return answer.code
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/platform_faults.py
@@ -0,0 +1,275 @@
+"""Faults switched into the code under test, or into a stand-in, to see that each checker sees."""
+
+import json
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import replace
+from types import MappingProxyType
+from typing import Any
+from unittest.mock import patch
+
+from expression import Ok
+
+from ...booth.link_pool import LinkPool
+from ...booth.relayed_view import RelayedView
+from ...booth.router import Router
+from ...booth.session import Session
+from ...guildhall.guildhall import Guildhall
+from ...pitch.kind import Kind
+from ...steward.promotion_duty import PromotionDuty
+from ..simdisk import SimDisk
+from . import shard_faults
+from .repository import see_adapter
+
+Patches = list[Any]
+
+
+def answer_to_nothing() -> Patches:
+    """Each answer to a client is followed by another."""
+    from citizen import client_door
+
+    encode = client_door.encode
+    return [patch.object(client_door, "encode", lambda reply: encode(reply) + b"READY I -\r\n")]
+
+
+def other_text() -> Patches:
+    """Backends are sent another text than the client's."""
+    from citizen import backend_link
+
+    text_for = backend_link.text_for
+
+    def other(*, statement: Any, alias: bytes) -> bytes:
+        return text_for(statement=statement, alias=alias) + b"1"
+
+    return [patch.object(backend_link, "text_for", other)]
+
+
+def commit_for_leavers() -> Patches:
+    """What is to be rolled back is committed."""
+    from citizen.backend_link import BackendLink
+
+    return [patch.object(BackendLink, "rollback", lambda self: self._ask(b"ASK - COMMIT"))]
+
+
+def other_service() -> Patches:
+    """A database's statements go to another service now and then."""
+    route = Session.route
+
+    def wrong(self: Any) -> Any:
+        found = route(self)
+        plan = self.router.view.plan
+        if found is None or self.router.ctx.luck.random() > 0.2:
+            return found
+        return replace(found, service=self.router.ctx.luck.choice(sorted(plan.services)))
+
+    return [patch.object(Session, "route", wrong)]
+
+
+def rows_kept() -> Patches:
+    """An answer's rows are given twice."""
+    from citizen import client_door
+
+    encode = client_door.encode
+
+    def doubled(reply: Any) -> bytes:
+        reply.rows = reply.rows * 2
+        return encode(reply)
+
+    return [patch.object(client_door, "encode", doubled)]
+
+
+def any_values() -> Patches:
+    """A link is not brought up to a session's values."""
+    return [patch.object(Session, "_level", lambda self, *, link: None)]
+
+
+def shared_links() -> Patches:
+    """A link that serves one session is given to others as well."""
+
+    def pick(self: Any, *, values: Any) -> Any:
+        links = [link for link, _ in self.taken.values() if link.open] or [link for link in self.idle if link.open]
+        return links[0] if links else None
+
+    return [patch.object(LinkPool, "_pick", pick)]
+
+
+def write_again() -> Patches:
+    """A write whose outcome nobody knows is sent once more."""
+    write = Session._write
+
+    async def twice(self: Any, **named: Any) -> Any:
+        reply = await write(self, **named)
+        return await write(self, **named) if reply.fault == Kind.outcomeUnknown else reply
+
+    return [patch.object(Session, "_write", twice)]
+
+
+def promise_unknown() -> Patches:
+    """Where nobody knows the outcome, the client is promised that nothing is kept."""
+    from citizen import words
+
+    mild = MappingProxyType({**words.WORDS, Kind.outcomeUnknown: b"ABORTED"})
+    return [patch.object(words, "WORDS", mild)]
+
+
+def view_forever() -> Patches:
+    """What a booth knows of leads counts for ever."""
+    return [patch.object(RelayedView, "current", property(lambda self: True))]
+
+
+def no_guard() -> Patches:
+    """Copies are read from whatever their logs have."""
+    from citizen.backend_link import BackendLink
+
+    send, begin = BackendLink.send, BackendLink.begin
+
+    def unguarded(self: Any, *, statement: Any, at_least: Any = None, alias: bytes = b"") -> Any:
+        return send(self, statement=statement, alias=alias)
+
+    def begin_unguarded(self: Any, *, read_only: bool, at_least: Any) -> Any:
+        return begin(self, read_only=read_only, at_least=None)
+
+    return [patch.object(BackendLink, "send", unguarded), patch.object(BackendLink, "begin", begin_unguarded)]
+
+
+def own_forgotten() -> Patches:
+    """A session's own commits are not asked for."""
+    guard = Router.guard
+
+    def without(self: Any, *, route: Any, arrived_us: int, own: Any) -> Any:
+        return guard(self, route=route, arrived_us=arrived_us, own=None)
+
+    return [patch.object(Router, "guard", without)]
+
+
+def worst_copy() -> Patches:
+    """The copy that has received least is put in a primary's place."""
+    fence = PromotionDuty._fence
+
+    async def least(self: Any, **named: Any) -> Any:
+        fenced = await fence(self, **named)
+        if fenced is None:
+            return None
+        states = await self._states(members=named["others"])
+        worst = min(states, key=lambda name: states[name].received)
+        return fenced._replace(best=worst, position=states[worst].received)
+
+    return [patch.object(PromotionDuty, "_fence", least)]
+
+
+def drop_at_stop() -> Patches:
+    """A planned stop closes every connection, whatever is under way on it."""
+    from citizen.client_door import ClientDoor
+
+    return [patch.object(ClientDoor, "at_rest", property(lambda self: True))]
+
+
+def deaf_to_emptying() -> Patches:
+    """A backend that says it is leaving gets as much as before."""
+    return [patch.object(Router, "_obey", lambda self, *, name, leads: None)]
+
+
+def first_plan_forever() -> Patches:
+    """A booth stays with the first configuration that it heard of."""
+    apply = RelayedView._apply
+
+    def once(self: Any, *, key: str, value: bytes) -> None:
+        if key != "plan" or self.plan is None:
+            apply(self, key=key, value=value)
+
+    return [patch.object(RelayedView, "_apply", once)]
+
+
+def plan_back_and_forth() -> Patches:
+    """A booth falls back now and then to the configuration before."""
+    from cinderstair.booth.booth import Booth
+
+    tend = Booth._tend
+
+    def back(self: Any) -> None:
+        tend(self)
+        older = self.__dict__.setdefault("older", [])
+        if self.view.plan is not None and self.view.plan not in older:
+            older.append(self.view.plan)
+        if len(older) > 1:
+            self.view.plan = self.ctx.luck.choice(older[-2:])
+
+    return [patch.object(Booth, "_tend", back)]
+
+
+def take_anything() -> Patches:
+    """A configuration that is no valid one is acknowledged."""
+    from citizen.control_edge import ControlEdge
+
+    put = ControlEdge._put
+
+    async def took(self: Any, *, body: bytes) -> Any:
+        status, answer = await put(self, body=body)
+        return (200, b"{}") if status == 400 else (status, answer)
+
+    return [patch.object(ControlEdge, "_put", took)]
+
+
+def older_again() -> Patches:
+    """An older configuration takes the place of a newer one."""
+    from ...guildhall import guildhall
+
+    return [patch.object(guildhall, "plan_version", lambda *, data: 0)]
+
+
+def altered_read_back() -> Patches:
+    """What is read back says the same in other bytes."""
+    fetch = Guildhall.fetch
+
+    async def other(self: Any) -> Any:
+        found = await fetch(self)
+        return Ok(json.dumps(json.loads(found.ok), indent=1).encode()) if found.is_ok() else found
+
+    return [patch.object(Guildhall, "fetch", other)]
+
+
+def disks_forget() -> Patches:
+    """Nothing that was written is there when it is read."""
+    return [patch.object(SimDisk, "read", lambda self, *, name: None)]
+
+
+FAULTS: dict[str, Callable[[], Patches]] = {
+    each.__name__: each
+    for each in (
+        answer_to_nothing,
+        other_text,
+        commit_for_leavers,
+        other_service,
+        rows_kept,
+        any_values,
+        shared_links,
+        write_again,
+        promise_unknown,
+        view_forever,
+        no_guard,
+        own_forgotten,
+        worst_copy,
+        drop_at_stop,
+        deaf_to_emptying,
+        first_plan_forever,
+        plan_back_and_forth,
+        take_anything,
+        older_again,
+        altered_read_back,
+        disks_forget,
+        shard_faults.old_map_writes_on,
+        shard_faults.moves_unclosed,
+        shard_faults.samples_from_before,
+        shard_faults.brought_twice,
+    )
+}
+
+
+@contextmanager
+def switched_in(*, name: str) -> Iterator[None]:
+    """Runs what it encloses with one fault in the code; an empty name is the code as it is."""
+    see_adapter()
+    with ExitStack() as stack:
+        for each in FAULTS[name]() if name else []:
+            stack.enter_context(each)
+        yield
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -0,0 +1,125 @@
+"""All trials on the simulated platform, and how one is run."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from . import config_trials, lead_trials, machine_trials, mixed_trials, shard_trials
+from .platform_verdict import PlatformVerdict
+from .platform_world import PlatformWorld
+from .repository import see_adapter
+
+ALWAYS = ("WIRE", "UNASKED", "ROUTE", "MIXED", "PINNED", "TWICE", "STALE", "CONFIG")
+MOVE = ("LOST", "ONE")
+
+
+class Trial(NamedTuple):
+    """`needs` are the rules beyond the usual ones that must have had a chance to be broken."""
+
+    play: Callable[[PlatformWorld], None]
+    needs: tuple[str, ...] = ()
+    waits_for: int = 1
+    clients: int = 9
+    think_us: int = 280_000
+    transaction_share: float = 0.3
+
+
+TRIALS: dict[str, Trial] = {
+    trial.play.__name__: trial
+    for trial in (
+        Trial(lead_trials.calm_day),
+        Trial(lead_trials.primary_crash),
+        Trial(lead_trials.dark_primary, MOVE),
+        Trial(lead_trials.primary_crash_copy_deaf, MOVE),
+        Trial(lead_trials.copies_lag, MOVE),
+        Trial(lead_trials.copy_crash),
+        Trial(lead_trials.release_primary, ("LOST", "ONE", "DRAIN")),
+        Trial(lead_trials.leaving_primary_crash, ("LOST",)),
+        Trial(lead_trials.release_primary_copies_deaf, ("LOST",)),
+        Trial(lead_trials.release_both, ("LOST", "DRAIN")),
+        Trial(lead_trials.release_copies, ("DRAIN",)),
+        Trial(lead_trials.holder_killed, MOVE),
+        Trial(lead_trials.two_holders, MOVE),
+        Trial(lead_trials.booth_cut_off, MOVE),
+        Trial(lead_trials.booth_cut_off_unconfirmed, ("ONE", "REFUSED"), waits_for=0),
+        Trial(lead_trials.primary_cut),
+        Trial(lead_trials.platform_troubled, (*MOVE, "REFUSED")),
+        Trial(lead_trials.candidate_crash, (*MOVE, "REFUSED")),
+        Trial(machine_trials.guildhall_killed),
+        Trial(machine_trials.backends_unheard),
+        Trial(machine_trials.guildhall_wiped),
+        Trial(machine_trials.booths_killed),
+        Trial(machine_trials.booths_frozen),
+        Trial(machine_trials.booth_frozen_in_move),
+        Trial(machine_trials.booths_stopped, ("LOST",)),
+        Trial(machine_trials.guildhalls_stopped, ("LOST",)),
+        Trial(machine_trials.all_killed, ("RECOVER",)),
+        Trial(machine_trials.all_powered_off, ("RECOVER",)),
+        Trial(machine_trials.answers_lost),
+        Trial(machine_trials.backends_slow),
+        Trial(machine_trials.connections_reset),
+        Trial(machine_trials.connections_refused),
+        Trial(config_trials.configurations),
+        Trial(config_trials.configurations_under_kills),
+        Trial(mixed_trials.mixed),
+        Trial(shard_trials.shards_in_a_match, ("SHARD",), clients=24, think_us=90_000),
+        Trial(shard_trials.shards_in_a_rush, ("SHARD",), clients=18, transaction_share=0.7),
+        Trial(shard_trials.shards_booth_deaf, ("SHARD",)),
+        Trial(shard_trials.shards_booth_frozen, ("SHARD",)),
+        Trial(shard_trials.shards_booth_disagrees, ("SHARD",)),
+        Trial(shard_trials.shards_too_few, ("SHARD",)),
+        Trial(shard_trials.shards_not_brought, ("SHARD",)),
+        Trial(shard_trials.shards_holder_killed, ("SHARD",)),
+        Trial(shard_trials.shards_two_operators, ("SHARD",)),
+        Trial(shard_trials.shards_with_a_crash, ("SHARD",)),
+    )
+}
+
+
+def judged(*, world: PlatformWorld, needs: tuple[str, ...]) -> PlatformVerdict:
+    referee = world.referee
+    chances = referee.chances
+    wrong = [*referee.breaches, *(f"error: {each}" for each in world.errors)]
+    wrong += [f"{name} halted: {why}" for name, why in world.halted.items()]
+    wrong += [f"no chance to break {rule}" for rule in (*ALWAYS, *needs) if not chances[rule]]
+    if not world.served:
+        wrong.append("nothing was served")
+    figures = {
+        "full": referee.full,
+        "misled": referee.misled,
+        "promotions": len(world.platform.calls),
+        "dials": world.fabric.dialled,
+        "config_ms": max(world.operator.took_us, default=0) // 1_000,
+    }
+    return PlatformVerdict(
+        wrong=wrong,
+        chances=chances,
+        served=world.served,
+        owed=world.owed,
+        answers=referee.answers,
+        figures=figures,
+    )
+
+
+def run_trial(*, name: str, seed: int, log_level: int = 50, clients: int | None = None) -> PlatformVerdict:
+    see_adapter()
+    trial = TRIALS[name]
+    world = PlatformWorld(seed=seed, waits_for=trial.waits_for, log_level=log_level)
+    try:
+        world.begin()
+        count = trial.clients if clients is None else clients
+        world.clients_begin(count=count, think_us=trial.think_us, transaction_share=trial.transaction_share)
+        # why: where nothing is acknowledged yet, nothing can be lost
+        world.await_that(
+            test=lambda: not count or all(len(service.acked) > 2 for service in world.services.values()),
+            within_ms=10_000,
+            what="commits are acknowledged",
+        )
+        trial.play(world)
+        world.end()
+        return judged(world=world, needs=trial.needs)
+    except AssertionError as error:
+        verdict = judged(world=world, needs=())
+        verdict.wrong.append(f"broke off: {error}")
+        return verdict
+    finally:
+        world.close()
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/platform_wires.py
@@ -0,0 +1,20 @@
+"""The simulated network of records, with machines that have gone dark."""
+
+import random
+
+from ..simnet import Wires
+from ..virtualloop import VirtualLoop
+
+FAST_US, SLOW_US = 300, 5_000
+
+
+class PlatformWires(Wires):
+    """A dark machine neither says nor hears anything, and nobody is told so."""
+
+    def __init__(self, *, loop: VirtualLoop, luck: random.Random) -> None:
+        super().__init__(loop=loop, luck=luck)
+        self.fastUs, self.slowUs = FAST_US, SLOW_US
+        self.dark: set[str] = set()
+
+    def passes(self, *, source: str, target: str) -> bool:
+        return (source, target) not in self.cuts and source not in self.dark and target not in self.dark
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/platform_world.py
@@ -0,0 +1,562 @@
+"""A simulated platform in which the real roles run: the same seed is the same run."""
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from ...pitch.context import Context
+from ...pitch.counters import Counters
+from ...pitch.nodisk import NoDisk
+from ..simdisk import SimDisk
+from ..simnet import SimNet
+from ..virtualloop import Boot, VirtualLoop
+from .beat_sender import BeatSender
+from .platform_client import PlatformClient
+from .platform_wires import PlatformWires
+from .referee import APPLY_US, Referee
+from .route_prober import RouteProber
+from .sim_streams import SimStreams
+from .stand_in_backend import StandInBackend
+from .stand_in_handover import StandInHandover
+from .stand_in_operator import StandInOperator
+from .stand_in_platform import StandInPlatform
+from .stand_in_service import StandInService
+from .stream_fabric import StreamFabric
+from .trouble import Trouble
+
+REGIONS = {"north-1": "north", "north-2": "north", "south-1": "south"}
+ZONES = tuple(REGIONS)
+QUIET_US = 3_000_000
+GRACE_US = 5_000_000
+AGAIN_US = 600_000
+TICK_S = 0.1
+SLACK_US = 200_000
+PORTS = {"front": 9001, "ready": 9002, "control": 9003, "records": 9100, "backend": 9200, "platform": 9300}
+SORTS = (("primary", 0), ("recent_enough", 1_200), ("self_hosted", 2_000))
+
+
+class PlatformWorld:
+    """Machines are started, killed, frozen, stopped, cut off and left without power by name."""
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        booths: int = 3,
+        guildhalls: int = 3,
+        services: int = 2,
+        backends: int = 3,
+        waits_for: int = 1,
+        promote_us: int = 500_000,
+        log_level: int = logging.CRITICAL,
+    ) -> None:
+        self.seed = seed
+        self.loop = VirtualLoop()
+        self.loop.set_exception_handler(self._wrong)
+        self.wires = PlatformWires(loop=self.loop, luck=self.luck_for(name="wires"))
+        self.fabric = StreamFabric(loop=self.loop, wires=self.wires, luck=self.luck_for(name="fabric"))
+        self.luck = self.luck_for(name="world")
+        self.log_level = log_level
+        self.booths = [f"booth-{n}" for n in range(booths)]
+        self.guildhalls = [f"guildhall-{n}" for n in range(guildhalls)]
+        self.errors: list[str] = []
+        self.halted: dict[str, str] = {}
+        self.troubles: list[Trouble] = []
+        self.boots: dict[str, Boot] = {}
+        self.roles: dict[str, Any] = {}
+        self.contexts: dict[str, Context] = {}
+        self.disks: dict[str, SimDisk] = {}
+        self.lives: dict[str, int] = {}
+        self.first_run = True
+        self.addresses: dict[str, str] = {}
+        self.zones: dict[str, str] = {}
+        self.retired: dict[str, StandInBackend] = {}
+        self.senders: dict[str, BeatSender] = {}
+        self.clients: list[PlatformClient] = []
+        self.expected: set[str] = set()
+        self.replaced = 0
+        self.referee = Referee(in_touch=lambda name: self.in_touch(name=name))
+        for number, name in enumerate([*self.guildhalls, *self.booths]):
+            self._place(name=name, zone=ZONES[number % len(ZONES)])
+        for name in ("platform", "operator", "prober"):
+            self._place(name=name, zone=ZONES[0])
+        self.services: dict[str, StandInService] = {}
+        self.backends: dict[str, StandInBackend] = {}
+        for number in range(services):
+            service = StandInService(name=f"ledger{number}", waits_for=waits_for, max_links=60, promote_us=promote_us)
+            service.on_promoted.append(lambda backend, lost: self.referee.promoted(backend=backend, lost=lost))
+            self.services[service.name] = service
+            for index in range(backends):
+                self._backend(service=service, index=index, leads=index == 0)
+        self.handover = StandInHandover(services=self.services, referee=self.referee)
+        self.controls = [self.address(name=name, door="control") for name in self.guildhalls]
+        self.platform = StandInPlatform(
+            fabric=self.fabric,
+            streams=self.streams(name="platform"),
+            address=self.address(name="platform", door="platform"),
+            services=self.services,
+            referee=self.referee,
+            luck=self.luck_for(name="platform"),
+            fronts={name: self.address(name=name, door="front") for name in self.booths},
+            ready={name: self.address(name=name, door="ready") for name in self.booths},
+            zones=self.zones,
+        )
+        self.operator = StandInOperator(
+            fabric=self.fabric,
+            streams=self.streams(name="operator"),
+            controls=self.controls,
+            referee=self.referee,
+            luck=self.luck_for(name="operator"),
+        )
+        self.prober = RouteProber(
+            fabric=self.fabric,
+            streams=self.streams(name="prober"),
+            platform=self.platform,
+            referee=self.referee,
+            luck=self.luck_for(name="prober"),
+            lives=lambda name: self.lives[name],
+            databases=[],
+        )
+        self.databases: dict[str, str] = {}
+        for service_name in self.services:
+            for sort, _ in SORTS:
+                self.databases[f"{service_name}-{sort.partition('_')[0]}"] = service_name
+
+    def luck_for(self, *, name: str) -> random.Random:
+        return random.Random(f"platform/{self.seed}/{name}")
+
+    def _wrong(self, loop: Any, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if error is not None:
+            self.errors.append(f"{context.get('message')}: {error!r}")
+
+    @property
+    def now_us(self) -> int:
+        return round(self.loop.virtual * 1_000_000)
+
+    # -- places --
+
+    def _place(self, *, name: str, zone: str, ip: str = "") -> None:
+        ip = ip or f"10.{ZONES.index(zone) + 1}.{len(self.zones) // 200}.{len(self.zones) % 200 + 10}"
+        self.addresses[name], self.zones[name] = ip, zone
+        self.fabric.place(host=name, ip=ip, zone=zone, region=REGIONS[zone])
+
+    def address(self, *, name: str, door: str) -> str:
+        return f"{self.addresses[name]}:{PORTS[door]}"
+
+    def streams(self, *, name: str, boot: Boot | None = None) -> SimStreams:
+        return SimStreams(fabric=self.fabric, host=name, boot=boot)
+
+    def _backend(
+        self, *, service: StandInService, index: int, leads: bool, old: StandInBackend | None = None
+    ) -> StandInBackend:
+        self.replaced += old is not None
+        name = f"{service.name}-b{index}" + (f"r{self.replaced}" if old is not None else "")
+        zone = ZONES[index % len(ZONES)] if old is None else old.zone
+        self._place(name=name, zone=zone, ip="" if old is None else self.addresses[old.name])
+        backend = StandInBackend(
+            name=name,
+            service=service,
+            address=self.address(name=name, door="backend"),
+            zone=zone,
+            fabric=self.fabric,
+            referee=self.referee,
+            luck=self.luck_for(name=name),
+            leads=leads,
+            log=None if old is None else old.log,
+        )
+        if old is not None:
+            backend.term = old.term
+        service.backends[name] = self.backends[name] = backend
+        if leads:
+            service.last = backend
+        return backend
+
+    # -- machines of the system --
+
+    def _context(self, *, name: str, boot: Boot) -> Context:
+        life = self.lives[name]
+        # why: no two machines' steady clocks agree, nor do one machine's before and after a restart
+        skew_us = self.luck_for(name=f"skew/{name}/{life}").randrange(10**12)
+        log = logging.getLogger(f"platform.{name}")
+        log.setLevel(self.log_level)
+        disk = self.disks.setdefault(name, SimDisk(luck=self.luck_for(name=f"disk/{name}")))
+        return Context(
+            name=name,
+            site=self.zones[name],
+            luck=self.luck_for(name=f"luck/{name}/{life}"),
+            clock=lambda: self.now_us + skew_us,
+            wall=lambda: self.now_us,
+            net=SimNet(wires=self.wires, boot=boot),
+            disk=disk if name in self.guildhalls else NoDisk(),
+            log=log,
+            counters=Counters(),
+        )
+
+    def machine(self, *, name: str) -> Any:
+        """What the settings file of a machine says now."""
+        from citizen.settings_file import Machine
+
+        booth = name in self.booths
+        return Machine(
+            name=name,
+            site=self.zones[name],
+            ip=self.addresses[name],
+            seeds=tuple(self.controls[:3]),
+            regions=REGIONS,
+            spare_port=PORTS["records"],
+            folder="" if booth else "data",
+            front=self.address(name=name, door="front") if booth else "",
+            ready=self.address(name=name, door="ready") if booth else "",
+            control="" if booth else self.address(name=name, door="control"),
+            provider=self.address(name="platform", door="platform"),
+            first_run=self.first_run and not booth,
+            losses=1,
+            beat_every_us=1_000_000,
+            grace_us=GRACE_US,
+        )
+
+    def start(self, *, name: str) -> None:
+        """One run of a machine's process."""
+        from citizen.booth_role import BoothRole
+        from citizen.guildhall_role import GuildhallRole
+
+        self.wires.dark.discard(name)
+        boot = Boot(name=name)
+        self.lives[name] = self.lives.get(name, 0) + 1
+        ctx = self._context(name=name, boot=boot)
+        self.boots[name], self.contexts[name] = boot, ctx
+        make = BoothRole if name in self.booths else GuildhallRole
+        machine = self.machine(name=name)
+        streams = self.streams(name=name, boot=boot)
+
+        async def run() -> None:
+            role = make(ctx, machine, streams, lambda why: self._halt(name=name, why=why))
+            if name in self.guildhalls:
+                role.guildhall.handover = self.handover
+            self.roles[name] = role
+            result = await role.start()
+            if result.is_error():
+                self._halt(name=name, why=result.error.why)
+
+        self.wires.runAt(boot=boot, work=run())
+
+    def _halt(self, *, name: str, why: str) -> None:
+        self.halted[name] = why
+        self.kill(name=name)
+
+    def _end(self, *, name: str, dark: bool) -> None:
+        boot = self.boots[name]
+        self.loop.kill(boot=boot)
+        self.wires.closeAll(boot=boot)
+        self.fabric.end_of(host=name, silently=dark)
+        self.roles.pop(name, None)
+
+    def kill(self, *, name: str, again_us: int = AGAIN_US) -> None:
+        """The process ends at once; the platform starts it again after a while."""
+        self.note(name=name, for_us=again_us)
+        self._end(name=name, dark=False)
+        self.fabric.call(self._start_later(name=name, wait_us=again_us))
+
+    async def _start_later(self, *, name: str, wait_us: int) -> None:
+        await asyncio.sleep(wait_us / 1_000_000)
+        if self.boots[name].dead:
+            self.start(name=name)
+
+    def power_off(self, *, name: str, wipe: bool = False) -> None:
+        """The machine goes dark, and may lose its disk."""
+        self.note(name=name, for_us=None)
+        self.wires.dark.add(name)
+        self._end(name=name, dark=True)
+        if wipe:
+            self.disks[name].wipe()
+
+    def power_on(self, *, name: str) -> None:
+        self.past(name=name)
+        self.start(name=name)
+
+    def freeze(self, *, name: str) -> None:
+        self.note(name=name, for_us=None)
+        self.loop.freeze(boot=self.boots[name])
+
+    def thaw(self, *, name: str) -> None:
+        self.past(name=name)
+        self.loop.thaw(boot=self.boots[name])
+
+    def stop(self, *, name: str, again_us: int = 1_500_000) -> None:
+        """A planned stop and start: SIGTERM, an orderly end or SIGKILL, and a new start."""
+        self.note(name=name, for_us=GRACE_US + again_us, planned=True)
+        boot, role = self.boots[name], self.roles[name]
+        task = self.wires.runAt(boot=boot, work=role.drain())
+
+        async def ends() -> None:
+            await asyncio.wait([task], timeout=GRACE_US / 1_000_000)
+            if self.boots[name] is boot and not boot.dead:
+                self._end(name=name, dark=False)
+                await self._start_later(name=name, wait_us=again_us)
+
+        self.fabric.call(ends())
+
+    def reset(self, *, name: str) -> None:
+        self.note(name=name, for_us=0)
+        self.fabric.reset(host=name)
+
+    def cut(self, *, ones: list[str], others: list[str], both: bool = True) -> None:
+        for name in [*ones, *others]:
+            if name in self.boots:
+                self.note(name=name, for_us=None)
+        for one in ones:
+            for other in others:
+                self.wires.cuts.add((one, other))
+                if both:
+                    self.wires.cuts.add((other, one))
+
+    def heal(self) -> None:
+        for name in self.boots:
+            self.past(name=name)
+        self.wires.cuts.clear()
+
+    # -- in touch --
+
+    def note(self, *, name: str, for_us: int | None, planned: bool = False) -> None:
+        until_us = None if for_us is None else self.now_us + for_us
+        self.troubles.append(Trouble(scope=name, from_us=self.now_us, until_us=until_us, planned=planned))
+
+    def past(self, *, name: str) -> None:
+        for each in self.troubles:
+            if each.scope == name and each.until_us is None:
+                each.until_us = self.now_us
+
+    def in_touch(self, *, name: str) -> bool:
+        """Whether a machine of ours was untroubled for a while, and all guildhalls with it."""
+        now_us = self.now_us
+        return not any(
+            each.touches(from_us=now_us - QUIET_US, until_us=now_us)
+            for each in self.troubles
+            if each.scope == name or each.scope in self.guildhalls
+        )
+
+    def _excused(self, *, asked_us: int) -> bool:
+        """Whether anything unplanned befell anybody at about that time."""
+        return any(
+            not each.planned and each.touches(from_us=asked_us - QUIET_US, until_us=self.now_us)
+            for each in self.troubles
+        )
+
+    def answered(self, booth: str, asked_us: int, what: str) -> None:
+        """A client got its answer; it counts where a planned stop might have cost it."""
+        planned = any(each.planned and each.touches(from_us=asked_us, until_us=self.now_us) for each in self.troubles)
+        if planned and not self._excused(asked_us=asked_us):
+            self.referee.lost.answered(whole=True, what=what)
+
+    def dropped(self, booth: str, asked_us: int, what: str) -> None:
+        """A connection closed while a client waited for an answer."""
+        now_us = self.now_us
+        excused = self._excused(asked_us=asked_us)
+        ident = what.split(" ")[1].encode() if what.startswith("ASK") else b""
+        if excused or (now_us - asked_us <= SLACK_US and ident not in self.referee.handed):
+            return
+        self.referee.lost.answered(whole=False, what=f"{booth} closed on {what} of {asked_us} at {now_us}")
+
+    # -- backends --
+
+    def beat(self, *, backend: StandInBackend) -> None:
+        """Starts a backend and its beats."""
+        backend.start()
+        sender = BeatSender(
+            backend=backend,
+            streams=self.streams(name=backend.name),
+            controls=self.controls,
+            referee=self.referee,
+            luck=self.luck_for(name=f"beat/{backend.name}/{backend.life}"),
+        )
+        old = self.senders.get(backend.name)
+        sender.count = 0 if old is None else old.count + 100
+        self.senders[backend.name] = sender
+        self.fabric.call(sender.run())
+
+    def primary(self, *, service: str = "ledger0") -> StandInBackend:
+        """Whoever leads, or led last."""
+        found = self.services[service].last
+        assert found is not None
+        return found
+
+    def copies(self, *, service: str = "ledger0") -> list[StandInBackend]:
+        lead = self.services[service].last
+        return [each for each in self.services[service].backends.values() if each is not lead and each.up]
+
+    def crash(self, *, backend: StandInBackend, dark: bool = False, again_us: int | None = 3_000_000) -> None:
+        self.note(name=backend.name, for_us=0)
+        backend.crash(dark=dark)
+        if again_us is not None:
+            self.fabric.call(self._return_later(backend=backend, wait_us=again_us))
+
+    async def _return_later(self, *, backend: StandInBackend, wait_us: int) -> None:
+        await asyncio.sleep(wait_us / 1_000_000)
+        backend.light()
+        if not backend.up:
+            self.beat(backend=backend)
+
+    def release(self, *, backend: StandInBackend, again_us: int = 800_000) -> None:
+        """A planned end; its log passes to a new backend at its address."""
+
+        async def replaced() -> None:
+            await self.senders[backend.name].leave()
+            await asyncio.sleep(again_us / 1_000_000)
+            service = backend.service
+            del service.backends[backend.name]
+            index = int(backend.name.partition("-b")[2].partition("r")[0])
+            # why: where nobody took its place, whoever gets the log of a primary leads with it
+            leads = backend.leads and backend.term == service.term
+            self.beat(backend=self._backend(service=service, index=index, leads=leads, old=backend))
+
+        self.fabric.call(replaced())
+
+    # -- configurations --
+
+    def configuration(
+        self, *, version: int, extra: tuple[str, ...] = (), without: tuple[str, ...] = (), give_up_ms: int = 900
+    ) -> bytes:
+        """As an operator writes it; `extra` databases lead to the first service."""
+        routes: list[dict[str, Any]] = []
+        services = list(self.services)
+        names = {**self.databases, **dict.fromkeys(extra, services[0])}
+        for number, (database, service) in enumerate(names.items()):
+            if database in without:
+                continue
+            sort, age_ms = SORTS[number % len(SORTS)] if database in self.databases else SORTS[0]
+            route = {
+                "name": f"r{number}",
+                "host_name": database,
+                "path_start": "/",
+                "sort": sort,
+                "give_up_ms": give_up_ms,
+                "goal_ms": 300,
+                "rank": number % 3,
+                "target": service,
+                "tries": 2,
+            }
+            routes.append(route | ({"max_age_ms": age_ms} if age_ms else {}))
+            self.referee.route.allow(database=database, service=service)
+            self.referee.stale.sorts[database] = (sort, age_ms * 1_000)
+        listed = [
+            {
+                "name": each.name,
+                "health_path": "/health",
+                "max_links": each.max_links,
+                "protocol": "h1",
+                "encrypted": False,
+                "waits_for": each.waits_for,
+            }
+            for each in self.services.values()
+        ]
+        limits = {"head_bytes": 8192, "body_bytes": 65536, "idle_ms": 9000, "tx_rest_ms": 2500}
+        return json.dumps({"revision": version, "routes": routes, "services": listed, "limits": limits}).encode()
+
+    def put(self, *, body: bytes, valid: bool = True) -> asyncio.Task[int]:
+        return self.fabric.call(self.operator.put(body=body, valid=valid))
+
+    # -- running --
+
+    def run(self, *, work: Coroutine[Any, Any, Any]) -> Any:
+        return self.loop.run_until_complete(work)
+
+    def advance(self, *, for_ms: int) -> None:
+        self.run(work=asyncio.sleep(for_ms / 1_000))
+
+    def await_that(self, *, test: Callable[[], bool], within_ms: int, what: str) -> None:
+        until_us = self.now_us + within_ms * 1_000
+        while not test():
+            if self.now_us > until_us:
+                raise AssertionError(f"seed {self.seed}: not within {within_ms} ms: {what}")
+            self.advance(for_ms=50)
+
+    async def _tick(self) -> None:
+        while True:
+            for service in self.services.values():
+                service.tick()
+            await asyncio.sleep(TICK_S)
+
+    def serves(self) -> bool:
+        """Whether every booth is ready and knows who leads everything."""
+        booths = [self.roles[name].booth for name in self.booths if name in self.roles]
+        return len(booths) == len(self.booths) and all(
+            booth.ready and all(booth.router.may_lead(service=service).is_ok() for service in self.services)
+            for booth in booths
+        )
+
+    def begin(self) -> None:
+        """From nothing to a platform that serves."""
+        for name in [*self.guildhalls, *self.booths]:
+            self.start(name=name)
+        self.fabric.call(self._tick())
+        self.platform.start()
+        for backend in list(self.backends.values()):
+            self.beat(backend=backend)
+        self.put(body=self.configuration(version=3))
+        self.await_that(test=self.serves, within_ms=25_000, what="every booth serves")
+        self.first_run = False
+        self.advance(for_ms=1_200)
+
+    def clients_begin(
+        self, *, count: int, think_us: int = 280_000, write_share: float = 0.4, transaction_share: float = 0.3
+    ) -> None:
+        """Two thirds of them with long sessions."""
+        names = sorted(self.databases)
+        for number in range(count):
+            name = f"client-{number}"
+            self._place(name=name, zone=ZONES[number % len(ZONES)])
+            # why: no two shares of clients and databases go in step, so every zone uses every database
+            database = names[(number + number // len(names)) % len(names)]
+            reads_only = database.endswith("-recent")
+            client = PlatformClient(
+                name=name,
+                zone=self.zones[name],
+                database=database,
+                services=self.services,
+                fabric=self.fabric,
+                streams=self.streams(name=name),
+                platform=self.platform,
+                referee=self.referee,
+                luck=self.luck_for(name=name),
+                think_us=think_us,
+                long=number // len(ZONES) % 3 != 2,
+                write_share=0.0 if reads_only else write_share,
+                transaction_share=transaction_share,
+                answered=self.answered,
+                dropped=self.dropped,
+            )
+            self.clients.append(client)
+            self.fabric.call(client.run())
+        self.prober.databases.extend([names[0], "nowhere"])
+        self.fabric.call(self.prober.run())
+
+    @property
+    def served(self) -> int:
+        return sum(client.served for client in self.clients)
+
+    @property
+    def owed(self) -> int:
+        return sum(client.owed for client in self.clients)
+
+    def end(self) -> None:
+        """The clients come to an end, and the operator reads back."""
+        for client in self.clients:
+            client.stopped = True
+        self.prober.stopped = True
+        self.advance(for_ms=2_000)
+        self.referee.config.read_back(body=self.run(work=self.operator.read_back(for_us=APPLY_US)))
+        self.referee.end(services=list(self.services.values()))
+        for ctx in self.contexts.values():
+            if ctx.counters.counts["internal.crashes"]:
+                self.errors.append(f"{ctx.name} crashed {ctx.counters.counts['internal.crashes']} times inside")
+
+    def close(self) -> None:
+        for boot in self.boots.values():
+            boot.dead = True
+        self.loop.ended = True
+        self.loop.graveyard.clear()
+        self.loop.close()
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/platformsim.feature
@@ -0,0 +1,65 @@
+Feature: The roles on a simulated platform
+  Clients, backends, operators and the platform are stand-ins on virtual time; booths and guildhalls are the real ones.
+  Every rule has its checker, and a trial in which a checker had no chance has failed.
+
+  Scenario Outline: No rule is broken in <trial>
+    When the platform trial <trial> is played with seeds 1 to <last>
+    Then no rule of the platform was broken, and each had its chances
+    And at least <share> in a hundred operations were served
+
+    Examples: nothing happens
+      | trial    | share | last |
+      | calm_day | 100   | 1    |
+
+    Examples: a lead moves
+      | trial                       | share | last |
+      | primary_crash               | 93    | 2    |
+      | dark_primary                | 93    | 2    |
+      | primary_crash_copy_deaf     | 93    | 2    |
+      | copies_lag                  | 95    | 1    |
+      | copy_crash                  | 98    | 1    |
+      | release_primary             | 97    | 2    |
+      | release_copies              | 99    | 1    |
+      | release_both                | 97    | 1    |
+      | release_primary_copies_deaf | 93    | 1    |
+      | leaving_primary_crash       | 93    | 2    |
+      | candidate_crash             | 85    | 1    |
+      | primary_cut                 | 90    | 1    |
+      | platform_troubled           | 90    | 1    |
+
+    Examples: whoever moves it is troubled
+      | trial                     | share | last |
+      | holder_killed             | 90    | 2    |
+      | two_holders               | 93    | 2    |
+      | booth_cut_off             | 93    | 2    |
+      | booth_cut_off_unconfirmed | 93    | 1    |
+      | booth_frozen_in_move      | 93    | 1    |
+
+    Examples: machines are killed, frozen, stopped, or left without power
+      | trial              | share | last |
+      | guildhall_killed   | 99    | 1    |
+      | backends_unheard   | 90    | 1    |
+      | guildhall_wiped    | 99    | 1    |
+      | guildhalls_stopped | 99    | 1    |
+      | booths_killed      | 93    | 1    |
+      | booths_frozen      | 93    | 1    |
+      | booths_stopped     | 99    | 1    |
+      | all_killed         | 90    | 2    |
+      | all_powered_off    | 90    | 1    |
+
+    Examples: answers, links and configurations
+      | trial                      | share | last |
+      | answers_lost               | 95    | 2    |
+      | backends_slow              | 95    | 1    |
+      | connections_reset          | 95    | 1    |
+      | connections_refused        | 93    | 1    |
+      | configurations             | 99    | 2    |
+      | configurations_under_kills | 99    | 1    |
+
+    Examples: several at once
+      | trial | share | last |
+      | mixed | 88    | 2    |
+
+  Scenario: The same seed is the same run
+    When the platform trial primary_crash is played with seeds 3 to 3
+    Then the same seed once more is the same run
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/referee.py
@@ -0,0 +1,163 @@
+"""Sees everything that clients, backends and operators see, and holds it against the rules."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from .asked import Asked
+from .attempt import Attempt
+from .checker import Checker
+from .config_checker import ConfigChecker
+from .drain_checker import DrainChecker
+from .log_entry import LogEntry
+from .lost_checker import LostChecker
+from .mixed_checker import MixedChecker
+from .one_checker import OneChecker
+from .pinned_checker import PinnedChecker
+from .recover_checker import RecoverChecker
+from .refused_checker import RefusedChecker
+from .route_checker import RouteChecker
+from .shard_checker import ShardChecker
+from .stale_checker import StaleChecker
+from .twice_checker import TwiceChecker
+from .unasked_checker import UnaskedChecker
+from .wire_checker import WireChecker
+
+if TYPE_CHECKING:
+    from .backend_door import BackendDoor
+    from .stand_in_backend import StandInBackend
+    from .stand_in_service import StandInService
+
+APPLY_US, STEP_BACK_US, DRAIN_US, RECOVERY_US = 3_000_000, 250_000, 6_000_000, 6_000_000
+PROMISES = frozenset(["BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGHOST", "FULL"])
+
+
+class Referee:
+    """`in_touch` tells whether a machine is untroubled, and has been for a while."""
+
+    def __init__(self, *, in_touch: Callable[[str], bool]) -> None:
+        self.in_touch = in_touch
+        self.wire = WireChecker()
+        self.unasked = UnaskedChecker()
+        self.route = RouteChecker()
+        self.mixed = MixedChecker()
+        self.pinned = PinnedChecker()
+        self.twice = TwiceChecker()
+        self.refused = RefusedChecker()
+        self.stale = StaleChecker()
+        self.one = OneChecker()
+        self.lost = LostChecker()
+        self.drain = DrainChecker(drain_us=DRAIN_US)
+        self.config = ConfigChecker(apply_us=APPLY_US, step_back_us=STEP_BACK_US)
+        self.shard = ShardChecker()
+        self.recover = RecoverChecker(recovery_us=RECOVERY_US)
+        self.asked: dict[bytes, Asked] = {}
+        self.entries_by_commit: dict[bytes, LogEntry] = {}
+        self.handed: set[bytes] = set()
+        self.misled = 0
+        self.full = 0
+        self.answers: Counter[str] = Counter()
+
+    @property
+    def checkers(self) -> list[Checker]:
+        return [each for each in vars(self).values() if isinstance(each, Checker)]
+
+    # -- at backends --
+
+    def arrived(self, *, ident: bytes, text: bytes, guarded: bool, door: "BackendDoor") -> Asked | None:
+        """A statement under a client's id reaches a backend."""
+        asked = self.asked.get(ident)
+        if not self.unasked.known(asked=asked, ident=ident, text=text) or asked is None:
+            return None
+        self.unasked.text(asked=asked, text=text)
+        self.wire.judge(
+            fine=asked.kind in ("read", "write", "commit") and (not guarded or asked.kind == "read"),
+            what=f"{asked.kind} {text[:60]!r} reaches a backend{' with a guard' if guarded else ''}",
+        )
+        self.handed.add(ident)
+        backend = door.backend
+        if asked.alone or asked.attempt.place is None:
+            self.drain.received(
+                backend=backend.name,
+                now_us=backend.now_us,
+                others=list(backend.service.backends),
+                in_touch=self.in_touch(door.far_end),
+                what=f"{asked.ident!r} of {asked.sent_us} from {door.far_end}",
+            )
+        return asked
+
+    def ran(self, *, asked: Asked, door: "BackendDoor") -> None:
+        """A backend runs it."""
+        backend = door.backend
+        self.pinned.ran(asked=asked, door=door)
+        self.route.ran(asked=asked, service=backend.service.name)
+        if asked.kind == "read":
+            self.stale.ran(asked=asked, backend=backend)
+            sort, age_us = self.stale.sorts[asked.attempt.database]
+            self.shard.ran(asked=asked, backend=backend, sort=sort, age_us=age_us)
+        if asked.kind == "commit":
+            self.unasked.commits(asked=asked)
+
+    def committed(self, *, entry: LogEntry, backend: "StandInBackend") -> None:
+        """A backend appends to its log."""
+        for asked in entry.writes:
+            self.entries_by_commit[asked.ident] = entry
+
+    def promoted(self, *, backend: "StandInBackend", lost: list[LogEntry]) -> None:
+        service = backend.service
+        if service.waits_for:
+            self.lost.promoted(backend=backend.name, lost=lost, chances=len(service.acked))
+
+    # -- at clients --
+
+    def asks(self, *, asked: Asked) -> None:
+        self.asked[asked.ident] = asked
+
+    def acknowledged(self, *, writes: list[Asked], services: dict[str, "StandInService"], now_us: int) -> None:
+        """A client is told that its writes are committed."""
+        entry = self.entries_by_commit.get(writes[0].ident)
+        if entry is None:
+            self.lost.breach(what=f"{writes[0].ident!r} is acknowledged and stands in no log")
+            return
+        # why: a shard map may have moved the database, so its place is where the commit stands
+        service = services[entry.service]
+        if entry.acked_us is None:
+            entry.acked_us = now_us
+            self.shard.acknowledged(writes=writes, entry=entry, now_us=now_us)
+            service.acked.append((now_us, entry))
+        attempt = writes[0].attempt
+        self.stale.own.setdefault(attempt.session, []).append(entry)
+        self.one.acked(entry=entry, client=attempt.client, promoted=service.term > 1)
+        if service.waits_for:
+            self.lost.acked(entry=entry)
+
+    def told(self, *, attempt: Attempt, code: str) -> None:
+        """A client is given an error."""
+        self.answers[code] += 1
+        if code in PROMISES:
+            attempt.promises.append(code)
+            if any(asked.kind == "write" for asked in attempt.asked):
+                self.refused.chance()
+
+    # -- at the end --
+
+    def end(self, *, services: list["StandInService"]) -> None:
+        for service in services:
+            log = [] if service.last is None else service.last.log
+            self.twice.effects(entries=log)
+            self.refused.effects(entries=log)
+            stands = set(map(id, log))
+            for _, entry in service.acked:
+                if service.waits_for and id(entry) not in stands:
+                    self.lost.breach(what=f"{entry.term}.{entry.number} of {service.name} is not in the last log")
+        self.stale.end()
+        self.shard.end(services={service.name: service for service in services})
+        self.recover.end()
+
+    @property
+    def breaches(self) -> list[str]:
+        return [breach for each in self.checkers for breach in each.breaches]
+
+    @property
+    def chances(self) -> Counter[str]:
+        return Counter({each.rule: each.chances for each in self.checkers})
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/route_checker.py
@@ -0,0 +1,20 @@
+"""No service runs what no configuration allows to go to it."""
+
+from .asked import Asked
+from .checker import Checker
+
+
+class RouteChecker(Checker):
+    rule = "ROUTE"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.allowed: dict[str, set[str]] = {}
+
+    def allow(self, *, database: str, service: str) -> None:
+        self.allowed.setdefault(database, set()).add(service)
+
+    def ran(self, *, asked: Asked, service: str) -> None:
+        database = asked.attempt.database
+        fine = service in self.allowed.get(database, ())
+        self.judge(fine=fine, what=f"{asked.ident!r} for {database} ran on {service}")
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/shard_checker.py
@@ -0,0 +1,87 @@
+"""While a database's place moves no write lands twice or nowhere, and reads stay as fresh as ever."""
+
+from bisect import bisect_left
+from typing import TYPE_CHECKING
+
+from .asked import Asked
+from .checker import Checker
+from .log_entry import LogEntry
+
+if TYPE_CHECKING:
+    from .stand_in_backend import StandInBackend
+    from .stand_in_service import StandInService
+
+LOOK_BACK = 64
+
+
+class ShardChecker(Checker):
+    """Watches the databases that a shard map moves; `moved_us` is when all of one was at its new place."""
+
+    rule = "SHARD"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.places: dict[str, tuple[str, str]] = {}
+        self.moved_us: dict[str, int] = {}
+        self.brought: dict[tuple[str, bytes], LogEntry] = {}
+        self.acked: dict[str, list[tuple[int, bytes, LogEntry]]] = {}
+        self.own: dict[int, list[tuple[int, bytes, LogEntry]]] = {}
+        self.at_target = 0
+
+    def watch(self, *, database: str, source: str, target: str) -> None:
+        self.places[database] = (source, target)
+
+    def _held(self, *, ident: bytes, entry: LogEntry, backend: "StandInBackend") -> bool:
+        if entry.service == backend.service.name:
+            return backend.holds(entry=entry)
+        other = self.brought.get((backend.service.name, ident))
+        return other is not None and backend.holds(entry=other)
+
+    def acknowledged(self, *, writes: list[Asked], entry: LogEntry, now_us: int) -> None:
+        database = writes[0].attempt.database
+        acked = [(now_us, asked.ident, entry) for asked in writes]
+        self.acked.setdefault(database, []).extend(acked)
+        self.own.setdefault(writes[0].attempt.session, []).extend(acked)
+        if database not in self.places:
+            return
+        source, target = self.places[database]
+        self.at_target += entry.service == target
+        # why: what is committed at the old place after all of it was brought over is nowhere
+        moved_us = self.moved_us.get(database)
+        late = moved_us is not None and entry.service == source and entry.at_us > moved_us
+        self.judge(fine=not late, what=f"{writes[0].ident!r} lands at {source} after {database} has left it")
+
+    def ran(self, *, asked: Asked, backend: "StandInBackend", sort: str, age_us: int) -> None:
+        """A read of a database that moves, or has moved."""
+        database = asked.attempt.database
+        if database not in self.places:
+            return
+        before_us = asked.first_us - (0 if sort == "primary" else age_us)
+        acked = self.acked.get(database, [])
+        end = bisect_left(acked, before_us, key=lambda each: each[0])
+        wanted = acked[max(0, end - LOOK_BACK) : end]
+        if sort == "self_hosted":
+            own = self.own.get(asked.attempt.session, [])
+            wanted = wanted + [each for each in own if each[0] < asked.first_us]
+        missing = [
+            ident
+            for _, ident, entry in wanted
+            if not entry.cut and not self._held(ident=ident, entry=entry, backend=backend)
+        ]
+        what = f"{sort} read {asked.ident!r} of {database} on {backend.name} lacks {missing[-3:]}"
+        self.judge(fine=not missing, what=what)
+
+    def end(self, *, services: dict[str, "StandInService"]) -> None:
+        """Every acknowledged write stands once, where the database is now."""
+        for database, (source, target) in self.places.items():
+            name = target if database in self.moved_us else source
+            last = services[name].last
+            log = [] if last is None else last.log
+            times: dict[bytes, int] = {}
+            for entry in log:
+                for asked in (*entry.writes, *entry.brought):
+                    times[asked.ident] = times.get(asked.ident, 0) + 1
+            for _, ident, entry in self.acked.get(database, []):
+                count = times.get(ident, 0)
+                if not entry.cut:
+                    self.judge(fine=count == 1, what=f"{ident!r} of {database} stands {count} times at {name}")
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/shard_faults.py
@@ -0,0 +1,61 @@
+"""Faults of the shard map's change."""
+
+from typing import Any
+from unittest.mock import patch
+
+from ...booth.shards import Shards
+from ...steward.shard_duty import ShardDuty
+from .stand_in_handover import StandInHandover
+
+
+def old_map_writes_on() -> list[Any]:
+    """A booth that has taken no new map goes on writing at the old place, as if nothing had changed."""
+
+    def look(self: Any) -> None:
+        return None
+
+    return [
+        patch.object(Shards, "look", look),
+        patch.object(Shards, "fault", lambda self, *, database: None),
+        patch.object(Shards, "_behind", lambda self, *, database: False),
+        patch.object(Shards, "may_end", lambda self, *, database, since_us: True),
+    ]
+
+
+def moves_unclosed() -> list[Any]:
+    """The map changes while booths still write at the old place: nothing is closed, nobody is outwaited."""
+
+    async def move(self: Any, *, booths: Any) -> None:
+        if await self._complete():
+            await self._put(new=type(self.state)(current=self.state.following))
+
+    return [
+        patch.object(ShardDuty, "_move", move),
+        patch.object(Shards, "fault", lambda self, *, database: None),
+        patch.object(Shards, "may_end", lambda self, *, database, since_us: True),
+    ]
+
+
+def samples_from_before() -> list[Any]:
+    """Reads at the new place rest on samples from before the data was brought there."""
+
+    async def complete(self: Any, *, database: str, source: str, target: str) -> bool:
+        self.referee.shard.moved_us.setdefault(database, self.services[target].primary.now_us)
+        return True
+
+    return [patch.object(StandInHandover, "complete", complete)]
+
+
+def brought_twice() -> list[Any]:
+    """What was brought over is brought once more."""
+    whole = StandInHandover.complete
+
+    async def complete(self: Any, *, database: str, source: str, target: str) -> bool:
+        done = await whole(self, database=database, source=source, target=target)
+        shard, new = self.referee.shard, self.services[target].primary
+        again = [entry for (name, _), entry in shard.brought.items() if name == target]
+        if done and new is not None and again:
+            new.commit(writes=(), done=lambda entry: None).brought = again[0].brought
+        return done
+
+    return [patch.object(StandInHandover, "complete", complete)]
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/shards.feature
@@ -0,0 +1,38 @@
+Feature: The shard map changes under traffic
+  Writes keep to their usual place until enough booths have agreed, then all move together. No write lands twice or
+  nowhere, reads stay as fresh as ever, and a booth that has not heard or does not agree holds the old map.
+
+  Scenario Outline: No rule is broken in <trial>
+    When the platform trial <trial> is played with seeds <first> to <last>
+    Then no rule of the platform was broken, and each had its chances
+    And at least <share> in a hundred operations were served
+
+    Examples: a match afternoon and a month-end rush
+      | trial             | share | first | last |
+      | shards_in_a_match | 98    | 1     | 1    |
+      | shards_in_a_rush  | 96    | 1     | 2    |
+
+    Examples: not all booths hear, or agree
+      | trial                  | share | first | last |
+      | shards_booth_deaf      | 85    | 1     | 2    |
+      | shards_booth_frozen    | 90    | 1     | 2    |
+      | shards_booth_disagrees | 90    | 1     | 2    |
+      | shards_too_few         | 99    | 1     | 1    |
+
+    Examples: something fails meanwhile
+      | trial                | share | first | last |
+      | shards_not_brought   | 90    | 1     | 1    |
+      | shards_holder_killed | 93    | 1     | 2    |
+      | shards_two_operators | 95    | 1     | 1    |
+      | shards_with_a_crash  | 90    | 1     | 2    |
+
+  Scenario Outline: <fault> is seen in <trial>
+    When the platform trial <trial> is played with seed <seed> and the fault <fault>
+    Then the rule <rule> was seen broken: "<words>"
+
+    Examples:
+      | fault               | trial             | seed | rule  | words           |
+      | old_map_writes_on   | shards_in_a_rush  | 1    | SHARD | has left it     |
+      | moves_unclosed      | shards_in_a_rush  | 1    | SHARD | has left it     |
+      | samples_from_before | shards_in_a_rush  | 1    | SHARD | lacks           |
+      | brought_twice       | shards_in_a_rush  | 1    | SHARD | stands 4 times  |
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/stand_in_operator.py
@@ -0,0 +1,78 @@
+"""An operator: it sends configurations until they are taken, and reads them back."""
+
+import asyncio
+import json
+import random
+
+from .http_caller import http_call
+from .referee import Referee
+from .sim_streams import SimStreams
+from .stream_fabric import StreamFabric
+
+PATH = "/cinderstair/settings"
+FINAL = (400, 409, 412, 413, 422)
+AGAIN = (408, 429)
+TRIES = 40
+
+
+class StandInOperator:
+    """`controls` lags behind the truth, as lists do."""
+
+    def __init__(
+        self, *, fabric: StreamFabric, streams: SimStreams, controls: list[str], referee: Referee, luck: random.Random
+    ) -> None:
+        self.fabric = fabric
+        self.streams = streams
+        self.controls = controls
+        self.referee = referee
+        self.luck = luck
+        self.took_us: list[int] = []
+
+    async def _call(self, *, address: str, method: str, body: bytes) -> tuple[int, bytes] | None:
+        """One daemon's answer, redirections followed twice."""
+        for _ in range(3):
+            answer = await http_call(streams=self.streams, address=address, method=method, path=PATH, body=body)
+            if answer is None or answer[0] != 307:
+                return None if answer is None else (answer[0], answer[2])
+            address = answer[1].get("location", "").removeprefix("http://").partition("/")[0]
+        return None
+
+    async def put(self, *, body: bytes, valid: bool = True) -> int:
+        """The clear answer to a configuration; 0 where none came in the end."""
+        began_us = self.fabric.now_us
+        if valid:
+            self.referee.config.sent(body=body, now_us=began_us)
+        pause_s, bad = 0.1, 0
+        for _ in range(TRIES):
+            answer = await self._call(address=self.luck.choice(self.controls), method="PUT", body=body)
+            status = 0 if answer is None else answer[0]
+            if 200 <= status < 300:
+                if valid:
+                    version = int(json.loads(body)["revision"])
+                    self.referee.config.acked(version=version, now_us=self.fabric.now_us)
+                    self.took_us.append(self.fabric.now_us - began_us)
+                else:
+                    self.referee.config.invalid(body=body, status=status)
+                return status
+            bad += 400 <= status < 500 and status not in AGAIN
+            if status in FINAL or bad >= 3:
+                if valid:
+                    self.referee.config.refused(body=body, status=status, valid=True)
+                else:
+                    self.referee.config.invalid(body=body, status=status)
+                return status
+            await asyncio.sleep(pause_s + self.luck.random() * 0.05)
+            pause_s = min(2.0, pause_s * 2)
+        return 0
+
+    async def read_back(self, *, for_us: int) -> bytes | None:
+        """What the system says is in force, asked for again and again."""
+        until_us = self.fabric.now_us + for_us
+        newest: bytes | None = None
+        while self.fabric.now_us < until_us:
+            answer = await self._call(address=self.luck.choice(self.controls), method="GET", body=b"")
+            if answer is not None and answer[0] == 200:
+                newest = answer[1]
+                break
+            await asyncio.sleep(0.3)
+        return newest
--- a/src/cinderstair/steward/promotion_duty.py
+++ b/src/cinderstair/steward/promotion_duty.py
@@ -31,6 +31,7 @@
 FOLLOW_US = 400_000
 # why: these say that the primary is there, so that it can be asked itself
 ALIVE = ("is emptying", "does not lead")
+DEAD = ("is gone", "is silent")
 POLL_US = 80_000
 PROMOTE_AGAIN_US = 500_000
 GIVE_UP_US = 5_000_000
@@ -112,7 +113,8 @@
             service = key.removeprefix(PREFIX)
             lead, before = read_service_lead(data=found.value), self.leads.get(service)
             # why: from the first word on that is not settled, views that let anybody at the primary run out
-            if before is None or before.state == LeadState.settled:
+            # why: and a settled word that was missed between two others lets them run anew
+            if before is None or before.state == LeadState.settled or lead.turn > before.turn + 1:
                 self.stopped_us[service] = self.ctx.nowUs()
             self.leads[service] = lead
             self.lead_since_us[service] = self.ctx.nowUs()
@@ -226,6 +228,8 @@
         if not self.lease.held:
             return False
         before = b"" if old is None else old.bytes()
+        if old is not None and new != old:
+            new = replace(new, turn=old.turn + 1)
 
         def decide(current: bytes) -> Result[bytes, Fault]:
             if current != before and current != new.bytes():
@@ -283,9 +287,13 @@
             return "is not known"
         if member.state == GONE:
             return "is gone"
-        if member.state != READY:
-            return "is emptying"
         quiet = self.news.quiet(name=name) and self.news.hearing
+        if member.state != READY:
+            # why: one that leaves may die before it has stepped down, and then nobody can ask it to
+            dead = quiet or name in self.suspects_us
+            reason = await self._examine(member=member, quiet=quiet) if dead else ""
+            self.suspects_us.pop(name, None)
+            return reason if reason in DEAD else "is emptying"
         demoted = not member.leads and not quiet
         if not quiet and not demoted and name not in self.suspects_us:
             return ""
@@ -338,7 +346,7 @@
         )
         if await self._put(service=service.name, old=lead, new=moving):
             self.ctx.counters.add(name="promotion.moves")
-            await self._finish(service=service, lead=moving)
+            await self._finish(service=service, lead=self.leads[service.name])
 
     async def _stop_primary(
         self, *, service: Service, lead: ServiceLead, old: Announcement, others: list[Announcement]
@@ -354,6 +362,8 @@
         # why: where no copy is near, a stop would only be an outage
         if now is None or not any(state.received.term >= now.received.term for state in states.values()):
             self._say(service=service.name, reason=f"{lead.primary} is to leave, and no copy is there to follow it")
+            if now is None:
+                self.suspects_us.setdefault(lead.primary, self.ctx.nowUs())
             self.not_before_us[service.name] = self.ctx.nowUs() + RETRY_US
             if lead.state == LeadState.closing:
                 await self._put(service=service.name, old=lead, new=replace(lead, state=LeadState.settled))
@@ -362,7 +372,7 @@
             closing = replace(lead, state=LeadState.closing, ready_in_us=self.move_us, planned=True)
             if not await self._put(service=service.name, old=lead, new=closing):
                 return None
-            lead = closing
+            lead = self.leads[service.name]
             # why: what the primary was given already may end, and nothing more comes once the word is out
             await self.ctx.rest(waitUs=CLOSING_US)
         term = max([lead.term, now.term_held, *(state.term_held for state in states.values())]) + 1
--- a/src/cinderstair/steward/service_lead.py
+++ b/src/cinderstair/steward/service_lead.py
@@ -28,6 +28,7 @@
     """The register's word on a service.
 
     `fence`, while moving, is at or past every commit that was ever acknowledged; the one placed holds it.
+    `turn` rises with each word, so that two that say the same are told apart.
     `ready_in_us` is how long the move is expected to take from this word on; no promise.
     """
 
@@ -37,11 +38,12 @@
     fence: Position = START
     ready_in_us: int = 0
     planned: bool = False
+    turn: int = 0
 
     def bytes(self) -> bytes:
         packer = Packer().u64(value=self.term).text(value=self.primary).u8(value=self.state)
         packer.u64(value=self.fence.term).u64(value=self.fence.number).u64(value=self.ready_in_us)
-        return packer.u8(value=int(self.planned)).bytes()
+        return packer.u8(value=int(self.planned)).u64(value=self.turn).bytes()
 
 
 def read_service_lead(*, data: bytes) -> ServiceLead:
@@ -54,6 +56,7 @@
         fence=Position(unpacker.u64(), unpacker.u64()),
         ready_in_us=unpacker.u64(),
         planned=bool(unpacker.u8()),
+        turn=unpacker.u64(),
     )
     unpacker.done()
     return lead
--- /dev/null
+++ b/steps/shardsteps.py
@@ -0,0 +1,63 @@
+"""Steps for shard maps and their states."""
+
+import random
+from typing import Any
+
+from behave import then, when
+
+from cinderstair.charter.shard_map import ShardMap, check_shard_map
+from cinderstair.steward.shard_state import ShardPhase, ShardState, read_shard_state
+
+
+@when("the shard map {document} is checked")
+def when_checked(context: Any, document: str) -> None:
+    context.checked = check_shard_map(raw=document.encode())
+
+
+@then("the shard map is {found}")
+def then_found(context: Any, found: str) -> None:
+    checked = context.checked
+    if found.startswith("refused: "):
+        assert checked.is_error() and checked.error.why.startswith(found.removeprefix("refused: ")), checked
+        return
+    wanted = checked.ok
+    places = ", ".join(f"{database} at {service}" for database, service in sorted(wanted.places.items()))
+    assert f"version {wanted.version}, {wanted.agree_percent} %, {places or 'nothing'}" == found, wanted
+
+
+def made_up(*, luck: random.Random) -> ShardMap:
+    names = [f"database-{number}" for number in range(luck.randrange(6))]
+    places = {name: f"service-{luck.randrange(3)}" for name in names}
+    return ShardMap(version=luck.randrange(2**63), places=places, agree_percent=luck.randrange(51, 101))
+
+
+def states(*, count: int) -> list[ShardState]:
+    luck = random.Random(7)
+    return [
+        ShardState(
+            phase=luck.choice(list(ShardPhase)),
+            current=made_up(luck=luck),
+            following=made_up(luck=luck),
+            ready_in_us=luck.randrange(2**40),
+        )
+        for _ in range(count)
+    ]
+
+
+@then("{count:d} made-up shard states read back as they were written")
+def then_back(context: Any, count: int) -> None:
+    context.states = states(count=count)
+    for state in context.states:
+        assert read_shard_state(data=state.bytes()) == state
+    assert read_shard_state(data=b"") == ShardState()
+
+
+@then("none of them reads when it is cut short")
+def then_cut(context: Any) -> None:
+    for state in context.states:
+        for length in range(1, len(state.bytes())):
+            try:
+                read_shard_state(data=state.bytes()[:length])
+            except ValueError:
+                continue
+            raise AssertionError((state, length))
