Verbs shards and guildhall: operators put a shard map, and see what a guildhall knows

Cause: the shard map and the platform's control daemons had no command line of their own. Ruled out: HTTP on guildhalls for operators (their HTTP edge is the platform's; records are there already). Conclusion: held services, silent backends and lapsed views are said in words.

--- a/src/cinderstair/__main__.py
+++ b/src/cinderstair/__main__.py
@@ -7,6 +7,7 @@
 
 from . import VERSION
 from .counter.checkverb import CheckVerb, FormatVerb
+from .counter.controlverb import GuildhallVerb, ShardsVerb
 from .counter.operatorverb import (
     CountersVerb,
     DrainVerb,
@@ -37,6 +38,8 @@
         CheckVerb,
         FormatVerb,
         SimulateVerb,
+        ShardsVerb,
+        GuildhallVerb,
     ):
         app.add(verb())
     app.auto_exits(False)
--- a/src/cinderstair/fairground/platformsim/shards.feature
+++ b/src/cinderstair/fairground/platformsim/shards.feature
@@ -36,3 +36,7 @@
       | moves_unclosed      | shards_in_a_rush  | 1    | SHARD | has left it     |
       | samples_from_before | shards_in_a_rush  | 1    | SHARD | lacks           |
       | brought_twice       | shards_in_a_rush  | 1    | SHARD | stands 4 times  |
+
+  Scenario: An operator sees what a guildhall knows
+    When a simulated platform serves, and the map of version 4 is put to its booths
+    Then a guildhall tells of the vaults, services, backends, booths, duties and the map of version 4
--- a/src/cinderstair/guildhall/guildhall.py
+++ b/src/cinderstair/guildhall/guildhall.py
@@ -10,7 +10,7 @@
 from ..crier.announcement import Announcement, read_announcement
 from ..crier.news import News
 from ..pitch.context import Context
-from ..pitch.desks import OPINION, SHARDS, SUSPECT
+from ..pitch.desks import GUILDHALL, OPINION, SHARDS, SUSPECT
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
 from ..pitch.packer import Packer
@@ -19,13 +19,14 @@
 from ..steward.backend_control import BackendControl, Promoter
 from ..steward.promotion_duty import PROBE_WAIT_US, PromotionDuty
 from ..steward.shard_duty import Ballots, Handover, ShardDuty
-from ..steward.shard_state import SHARDS_KEY, ShardPhase, ShardState, read_shard_state
+from ..steward.shard_state import SHARDS_KEY, read_shard_state
 from ..vault.register import Found
 from ..vault.register_view import RegisterView
 from ..vault.vault import Vault
 from .booth_census import BoothCensus
 from .relay import Relay
 from .slot_keeper import SlotKeeper
+from .status_text import describe, status_text
 
 VIEW_EVERY_US = 200_000
 NEWS_EVERY_US = 400_000
@@ -36,13 +37,6 @@
 CENSUS_EVERY_US = 200_000
 
 
-def describe(*, state: ShardState) -> str:
-    """The shard map as an operator reads it."""
-    places = ", ".join(f"{database} at {service}" for database, service in sorted(state.current.places.items()))
-    words = f"map {state.current.version}: {places or 'all as planned'}"
-    return words if state.phase == ShardPhase.steady else f"{words}; {state.phase.name}: {state.following.version}"
-
-
 class Guildhall:
     """Hears backends and operators, answers booths, and holds duties under the register's leases."""
 
@@ -117,6 +111,7 @@
         self.view.post(command=self.view.pull, once="view")
         self.news.begin()
         vault.desk.open(kind=SHARDS, answer=self._shards_asked)
+        vault.desk.open(kind=GUILDHALL, answer=self._status_asked)
         vault.desk.open(kind=SUSPECT, answer=self._suspected)
         vault.desk.open(kind=OPINION, answer=self._opinion)
         return Ok(None)
@@ -250,6 +245,10 @@
             return Packer().text(value=result.error.kind.value).text(value=result.error.why).bytes()
         return Packer().text(value="").text(value="put to the booths").bytes()
 
+    async def _status_asked(self, unpacker: Unpacker) -> bytes:
+        unpacker.done()
+        return Packer().text(value="").text(value=status_text(guildhall=self)).bytes()
+
     async def drain(self) -> None:
         """A planned stop: hands its duties back, then says goodbye."""
         await asyncio.gather(self.duty.lease.drop(), self.slots.lease.drop(), self.shards.lease.drop())
--- /dev/null
+++ b/steps/controlverbsteps.py
@@ -0,0 +1,78 @@
+"""Steps for the verbs that speak to a guildhall, on real sockets of loopback."""
+
+import asyncio
+import contextlib
+import io
+import tempfile
+import threading
+from pathlib import Path
+from typing import Any
+
+from behave import given, then, when
+from cleo.application import Application
+
+from cinderstair.counter.controlverb import GuildhallVerb, ShardsVerb
+from cinderstair.fairground.fleet import freePorts
+from cinderstair.pitch.counters import Counters
+from cinderstair.pitch.packer import Packer
+from cinderstair.pitch.recordwire import RecordWire
+
+
+def answer_of(*, words: str) -> bytes:
+    if words.startswith("text "):
+        return Packer().text(value="").text(value=words.removeprefix("text ").strip('"')).bytes()
+    if words.startswith("kind "):
+        return Packer().text(value=words.removeprefix("kind ")).text(value="so it is").bytes()
+    return b"\x00\x01"
+
+
+@given("a guildhall's address that answers {words}")
+def given_guildhall(context: Any, words: str) -> None:
+    port = freePorts(count=1)[0]
+    loop = asyncio.new_event_loop()
+    wire = RecordWire(counters=Counters())
+
+    async def answer(body: bytes) -> bytes:
+        return answer_of(words=words)
+
+    loop.run_until_complete(wire.listen(address=f"127.0.0.1:{port}", answer=answer))
+    # why: the verb runs a loop of its own and waits in it, so its guildhall needs another thread
+    thread = threading.Thread(target=loop.run_forever, daemon=True)
+    thread.start()
+
+    def ends() -> None:
+        asyncio.run_coroutine_threadsafe(wire.close(), loop).result()
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+
+    context.add_cleanup(ends)
+    context.address = f"127.0.0.1:{port}"
+
+
+@when('an operator runs "{words}" at {address}')
+def when_runs_at(context: Any, words: str, address: str) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "map.json")
+        path.write_text('{"version": 1, "places": {}}')
+        given = {"MAP": str(path), "MISSING": str(Path(folder, "missing.json"))}
+        argv = [given.get(word, word) for word in words.split()] + ["--at", address]
+        app = Application("cinderstair", "0")
+        app.add(ShardsVerb())
+        app.add(GuildhallVerb())
+        app.auto_exits(False)
+        said = io.StringIO()
+        with contextlib.redirect_stdout(said), contextlib.redirect_stderr(said):
+            from cleo.io.inputs.argv_input import ArgvInput
+
+            context.code = app.run(input=ArgvInput(["cinderstair", *argv]))
+        context.said = said.getvalue()
+
+
+@when('an operator runs "{words}"')
+def when_runs(context: Any, words: str) -> None:
+    when_runs_at(context=context, words=words, address=context.address)
+
+
+@then('it ends with {code:d} and says "{words}"')
+def then_ends(context: Any, code: int, words: str) -> None:
+    assert context.code == code and words in context.said, (context.code, context.said)
--- a/steps/platformsteps.py
+++ b/steps/platformsteps.py
@@ -11,6 +11,10 @@
 
 from cinderstair.fairground.platformsim.platform_faults import switched_in  # noqa: E402
 from cinderstair.fairground.platformsim.platform_trials import run_trial  # noqa: E402
+from cinderstair.fairground.platformsim.platform_world import PlatformWorld  # noqa: E402
+from cinderstair.fairground.platformsim.repository import see_adapter  # noqa: E402
+from cinderstair.fairground.platformsim.shard_trials import moved, propose  # noqa: E402
+from cinderstair.guildhall.status_text import status_text  # noqa: E402
 
 
 def play(*, context: Any, trial: str, first: int, last: int, fault: str) -> None:
@@ -67,3 +71,26 @@
     for seed, verdict in context.verdicts:
         again = run_trial(name=context.trial, seed=seed)
         assert (again.chances, again.served, again.owed) == (verdict.chances, verdict.served, verdict.owed), seed
+
+
+@when("a simulated platform serves, and the map of version {version:d} is put to its booths")
+def when_serves(context: Any, version: int) -> None:
+    see_adapter()
+    context.world = PlatformWorld(seed=1)
+    context.worlds.append(context.world)
+    context.world.begin()
+    assert not propose(world=context.world, version=version)
+    moved(world=context.world, version=version)
+
+
+@then("a guildhall tells of the vaults, services, backends, booths, duties and the map of version {version:d}")
+def then_tells(context: Any, version: int) -> None:
+    world = context.world
+    texts = [status_text(guildhall=world.roles[name].guildhall) for name in world.guildhalls]
+    for text in texts:
+        assert f"map {version}: ledger0-primary at ledger1" in text and "NOT CURRENT" not in text, text
+        for name in [*world.guildhalls, *world.backends, *world.services]:
+            assert f" {name}" in f"\n{text}".replace("\n", "\n "), (name, text)
+    together = "\n".join(texts)
+    assert all(f"booth {name}: asked" in together for name in world.booths), together
+    assert "holds the duty of promotions" in together and "holds the duty of slots" in together, together
