--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -13,7 +13,6 @@
 
 TEND_US = 200_000
 READY_AGE_US = 5_000_000
-CHOOSE_EVERY_US = 30_000_000
 
 
 class Booth:
--- a/src/cinderstair/booth/session.py
+++ b/src/cinderstair/booth/session.py
@@ -514,12 +514,11 @@
             return refusal(kind=Kind.transactionLost)
         for number in range(TRIES):
             reply = await self._inside(statement=statement)
-            retry_us = self.ctx.nowUs() + PAUSE_US
             # why: a commit that the backend says it did not run may be asked for again in the same transaction
             if not (reply.not_run and reply.state == State.open and self.transaction is transaction):
                 break
             if number + 1 < TRIES:
-                await self._pause(number=number, until_us=retry_us + PAUSE_US)
+                await self._pause(number=number, until_us=self.ctx.nowUs() + 2 * PAUSE_US)
             if self.transaction is not transaction:
                 break
         self.transaction = None
--- a/src/cinderstair/fairground/platformsim/stand_in_handover.py
+++ b/src/cinderstair/fairground/platformsim/stand_in_handover.py
@@ -31,8 +31,7 @@
         if lacking:
             entry = new.commit(writes=(), done=self._confirmed)
             entry.brought = tuple(lacking)
-            if id(entry) not in self.open:
-                self.open.add(id(entry))
+            self.open.add(id(entry))
             for asked in lacking:
                 shard.brought[target, asked.ident] = entry
             return False
