--- a/src/cinderstair/fairground/capacity/hollow_link.py
+++ b/src/cinderstair/fairground/capacity/hollow_link.py
@@ -37,6 +37,10 @@
     def waiting(self) -> int:
         return 0
 
+    @property
+    def owed_us(self) -> int:
+        return 0
+
     def _answered(self, *, rows: list[bytes]) -> asyncio.Future[Reply]:
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Reply] = loop.create_future()
