Vaults tell which ballots changed since the edition that an asker names

Weighed: a digest of the vector (one change costs the whole vector again) and editions by source, as booths' questions to guildhalls have them; taken: editions. A vault's life is one source; within it a key's accepted ballot only rises, so an answer that was overtaken takes nothing back, and a restarted vault tells all it holds. Neighbours of the first version are answered whole. A view that has taken a vector in whole looks at its keys no second time.

--- a/src/cinderstair/vault/acceptor.py
+++ b/src/cinderstair/vault/acceptor.py
@@ -12,10 +12,11 @@
 from .roster import Roster, readRoster
 from .store import Store, cellEntry, rosterEntry
 
-OK, BEATEN, STALE, AHEAD, NO_VOTE = 0, 1, 2, 3, 4
+OK, BEATEN, STALE, AHEAD, NO_VOTE, SINCE = 0, 1, 2, 3, 4, 5
 ROSTER_KEY = "roster"
 LONGEST_LEASE_US = 4_000_000
 MOST_VALUE_BYTES = 4 * 1024 * 1024
+MOST_SOURCES = 64
 Applied = tuple[bytes, list[bytes]]
 
 
@@ -29,6 +30,10 @@
         self.halt = halt
         self.roster: Roster | None = readRoster(data=self.held.roster) if self.held.roster else None
         self.leases: dict[str, tuple[int, int]] = {}
+        # why: a life of its own counts its editions from nothing, and must not be taken for the one before
+        self.source = ctx.luck.getrandbits(62) | 1
+        self.edition = 1
+        self.editions: dict[str, int] = {}
         # why: what was granted before a restart is forgotten, so nothing is granted until it has run out
         self.grantsFromUs = ctx.nowUs() + (0 if fresh else LONGEST_LEASE_US)
         self.commands: asyncio.Queue[tuple[Callable[[], Applied], asyncio.Future[bytes]]] = asyncio.Queue()
@@ -95,7 +100,7 @@
         if ballot <= cell.promised:
             return self._cellAnswer(status=BEATEN, cell=cell), []
         cell = Cell(promised=ballot, accepted=cell.accepted, value=cell.value)
-        self.held.cells[key] = cell
+        self._hold(key=key, cell=cell)
         return self._cellAnswer(status=OK, cell=cell), [cellEntry(key=key, cell=cell)]
 
     async def accept(self, unpacker: Unpacker) -> bytes:
@@ -114,7 +119,7 @@
         if ballot < cell.promised:
             return self._cellAnswer(status=BEATEN, cell=cell), []
         cell = Cell(promised=ballot, accepted=ballot, value=value)
-        self.held.cells[key] = cell
+        self._hold(key=key, cell=cell)
         return self._cellAnswer(status=OK, cell=Cell(promised=ballot, accepted=ballot)), [
             cellEntry(key=key, cell=cell)
         ]
@@ -129,7 +134,7 @@
         if ballot <= cell.accepted:
             return b"", []
         cell = Cell(promised=max(ballot, cell.promised), accepted=ballot, value=value)
-        self.held.cells[key] = cell
+        self._hold(key=key, cell=cell)
         return b"", [cellEntry(key=key, cell=cell)]
 
     async def read(self, unpacker: Unpacker) -> bytes:
@@ -144,22 +149,41 @@
         return self._cellAnswer(status=OK, cell=self.held.cells.get(key, Cell())), []
 
     async def vector(self, unpacker: Unpacker) -> bytes:
+        """Which ballot each key was accepted at; where the asker names an edition of ours, what came since."""
         epoch = unpacker.u32()
+        named = unpacker.many(each=lambda u: (u.u64(), u.u64())) if unpacker.version > 1 else None
         unpacker.done()
-        return await self._order(command=lambda: self._vector(epoch=epoch))
+        if named is not None and len(named) > MOST_SOURCES:
+            raise ValueError("too many sources")
+        return await self._order(command=lambda: self._vector(epoch=epoch, named=named))
 
-    def _vector(self, *, epoch: int) -> Applied:
+    def _vector(self, *, epoch: int, named: list[tuple[int, int]] | None) -> Applied:
         barred = self._barred(epoch=epoch, key="")
         if barred is not None:
             return barred, []
+        since = dict(named or []).get(self.source, 0)
+        # why: what is older than this life has no edition, and went with the first answer to each asker
+        cells = [
+            (key, cell)
+            for key, cell in self.held.cells.items()
+            if cell.value and (not since or self.editions.get(key, 0) > since)
+        ]
         packer = Packer().u8(value=OK)
-        cells = [(key, cell) for key, cell in self.held.cells.items() if cell.value]
+        if named is not None:
+            packer = Packer().u8(value=SINCE).u64(value=self.source).u64(value=self.edition)
 
         def each(p: Packer, entry: tuple[str, Cell]) -> None:
             entry[1].accepted.write(packer=p.text(value=entry[0]))
 
         return packer.many(values=cells, each=each).bytes(), []
 
+    def _hold(self, *, key: str, cell: Cell) -> None:
+        known = self.held.cells.get(key)
+        if known is None or known.accepted != cell.accepted:
+            self.edition += 1
+            self.editions[key] = self.edition
+        self.held.cells[key] = cell
+
     async def lease(self, unpacker: Unpacker) -> bytes:
         epoch, duty, holder, lengthUs = unpacker.u32(), unpacker.text(), unpacker.u64(), unpacker.u64()
         unpacker.done()
--- a/src/cinderstair/vault/register.py
+++ b/src/cinderstair/vault/register.py
@@ -11,9 +11,11 @@
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
 from ..pitch.packer import Packer
+from ..pitch.parley import Body
 from ..pitch.unpacker import Unpacker
-from .acceptor import AHEAD, BEATEN, OK, ROSTER_KEY, STALE
+from .acceptor import AHEAD, BEATEN, OK, ROSTER_KEY, SINCE, STALE
 from .ballot import BLANK, Ballot, readBallot
+from .known_vectors import KnownVectors
 from .roster import Roster, Voter, readRoster, readVoter, seedRoster
 
 ASK_WAIT_US = 700_000
@@ -65,6 +67,7 @@
         self.roster: Roster | None = None
         self.met: dict[str, Voter] = {}
         self.failed: set[int] = set()
+        self.known = KnownVectors()
 
     async def strangers(self) -> dict[str, Voter]:
         """Every vault that the seeds have met, by name."""
@@ -94,7 +97,7 @@
             self.roster = roster
 
     async def poll(
-        self, *, roster: Roster, body: bytes, enough: Callable[[list[bytes]], bool], first: int = 0
+        self, *, roster: Roster, body: Body, enough: Callable[[list[bytes]], bool], first: int = 0
     ) -> list[bytes]:
         """Asks all voters and returns as soon as the answers that came are enough, or all have come.
 
@@ -137,7 +140,7 @@
             # why: a vault that missed the roster's change can vote again as soon as it is told
             self.ctx.spawn(work=self._tell(address=voter.address, roster=roster))
             return True
-        return status not in (OK, BEATEN)
+        return status not in (OK, BEATEN, SINCE)
 
     async def _tell(self, *, address: str, roster: Roster) -> bool:
         body = Packer().u8(value=ADOPT).blob(value=roster.bytes()).bytes()
@@ -249,18 +252,17 @@
             return Error(Fault(kind=Kind.registerUnreachable, why="no roster"))
         roster = self.roster
         assert roster is not None
-        body = Packer().u8(value=VECTOR).u32(value=roster.epoch).bytes()
+
+        def body(version: int) -> bytes:
+            packer = Packer().u8(value=VECTOR).u32(value=roster.epoch)
+            return (self.known.write(packer=packer) if version > 1 else packer).bytes()
+
         answers = await self.poll(
             roster=roster, body=body, enough=lambda got: len(got) >= roster.majority, first=roster.majority
         )
         if len(answers) < roster.majority:
             return Error(Fault(kind=Kind.registerUnreachable, why="no majority of vaults"))
-        highest: dict[str, Ballot] = {}
-        for answer in answers:
-            unpacker = Unpacker(data=answer[1:])
-            for key, ballot in unpacker.many(each=lambda u: (u.text(), readBallot(unpacker=u))):
-                highest[key] = max(highest.get(key, BLANK), ballot)
-        return Ok(highest)
+        return Ok(self.known.read(answers=answers))
 
     async def changeRoster(self, *, alter: Callable[[Roster], Roster]) -> Result[Roster, Fault]:
         """Moves to the next roster, which differs by one voter, so that every majority of the two meets."""
--- a/src/cinderstair/vault/register_view.py
+++ b/src/cinderstair/vault/register_view.py
@@ -10,7 +10,7 @@
 from ..pitch.fault import Fault
 from ..pitch.ownermixin import OwnerMixin
 from .acceptor import ROSTER_KEY
-from .ballot import BLANK
+from .ballot import BLANK, Ballot
 from .register import Found, Register
 from .roster import readRoster
 
@@ -31,6 +31,7 @@
         self.leaseUs = leaseUs
         self.asOfUs = -leaseUs
         self.known: dict[str, Found] = {}
+        self.taken: dict[str, Ballot] | None = None
         self.changes: Subject[str] = Subject()
         self.openQueue()
         self.every(everyUs=everyUs, command=self.pull, name="view")
@@ -46,9 +47,9 @@
         if highest.is_error():
             self.ctx.counters.add(name="view.missed")
             return False
-        lacking = [
-            key for key, ballot in highest.ok.items() if key not in self.known or self.known[key].ballot < ballot
-        ]
+        # why: what has been taken in whole once needs no second look at each of its keys
+        unseen = {} if highest.ok is self.taken else highest.ok
+        lacking = [key for key, ballot in unseen.items() if key not in self.known or self.known[key].ballot < ballot]
         # why: one after the other, a thousand keys that change at once would hold the view up for their journeys' sum
         for first in range(0, len(lacking), TOGETHER):
             keys = lacking[first : first + TOGETHER]
@@ -56,6 +57,7 @@
             for key, found in zip(keys, founds, strict=True):
                 if found.is_error() or not self._take(key=key, found=found.ok):
                     return False
+        self.taken = highest.ok
         # why: counted from the round's start, since anything may have been written the moment after it
         self.asOfUs = max(self.asOfUs, startUs)
         self.ctx.counters.add(name="view.pulls")
--- /dev/null
+++ b/steps/vectorsteps.py
@@ -0,0 +1,154 @@
+"""Steps for vectors that are told by what came since."""
+
+from typing import Any
+
+from behave import given, then, when
+from expression import Ok
+
+from cinderstair.pitch.packer import Packer
+from cinderstair.pitch.speech import Speech
+from cinderstair.pitch.unpacker import Unpacker
+from cinderstair.vault.acceptor import SINCE
+from cinderstair.vault.ballot import BLANK, Ballot, readBallot
+from cinderstair.vault.known_vectors import KnownVectors
+
+
+def keys_in(*, answer: bytes) -> int:
+    unpacker = Unpacker(data=answer)
+    if unpacker.u8() == SINCE:
+        unpacker.u64()
+        unpacker.u64()
+    return len(unpacker.many(each=lambda u: (u.text(), readBallot(unpacker=u))))
+
+
+def ask(*, context: Any, times: int) -> dict[str, Ballot]:
+    """The vector as proposer 0 sees it; what the answers of the last time brought is kept."""
+    register = context.registers[0]
+    read = register.known.read
+    for _ in range(times):
+        context.brought = []
+
+        def reads(*, answers: list[bytes]) -> dict[str, Ballot]:
+            context.brought = [keys_in(answer=answer) for answer in answers]
+            return read(answers=answers)
+
+        register.known.read = reads
+        context.vector = dict(context.world.run(work=register.vector()).ok)
+    register.known.read = read
+    return context.vector
+
+
+def write(*, context: Any, key: str, value: bytes = b"x") -> Any:
+    return context.world.run(work=context.registers[1].change(key=key, decide=lambda _: Ok(value)))
+
+
+@given("proposer 1 has written 40 keys")
+def given_keys(context: Any) -> None:
+    for number in range(40):
+        assert write(context=context, key=f"key-{number}").is_ok()
+
+
+@when("proposer 0 asks for the vector {times:d} times")
+def when_asks(context: Any, times: int) -> None:
+    ask(context=context, times=times)
+
+
+@when("proposer 1 writes one of the keys again, and proposer 0 asks for the vector until it shows")
+def when_writes(context: Any) -> None:
+    written = write(context=context, key="key-7", value=b"y").ok
+    assert ask(context=context, times=1)["key-7"] == written.ballot
+
+
+@when("the vaults are restarted one by one, and proposer 0 asks for the vector")
+def when_restarted(context: Any) -> None:
+    world = context.world
+    for name in world.vaultNames:
+        world.kill(name=name)
+        world.advance(forUs=600_000)
+        world.start(name=name)
+        world.advance(forUs=1_500_000)
+    ask(context=context, times=1)
+
+
+@then("the last answers together bring {count:d} keys")
+def then_brings(context: Any, count: int) -> None:
+    assert sum(context.brought) == count, context.brought
+
+
+@then("the last answers together bring at most {count:d} keys")
+def then_at_most(context: Any, count: int) -> None:
+    assert 0 < sum(context.brought) <= count, context.brought
+
+
+@then("the last answers together bring at least {count:d} keys")
+def then_at_least(context: Any, count: int) -> None:
+    assert sum(context.brought) >= count, context.brought
+
+
+@when("keys are written and the vector is asked for 60 times, while vaults are killed and come back")
+def when_mixed(context: Any) -> None:
+    world = context.world
+    context.seen = []
+    acknowledged: dict[str, Ballot] = {}
+    down: list[str] = []
+    for _ in range(60):
+        if down and world.luck.random() < 0.5:
+            world.start(name=down.pop())
+            world.advance(forUs=800_000)
+        elif not down and world.luck.random() < 0.4:
+            down.append(world.luck.choice(world.vaultNames))
+            world.kill(name=down[-1])
+        key = f"key-{world.luck.randrange(12)}"
+        written = write(context=context, key=key, value=b"%d" % world.luck.randrange(1000))
+        if written.is_ok():
+            acknowledged[key] = written.ok.ballot
+        before = dict(acknowledged)
+        found = world.run(work=context.registers[0].vector())
+        if found.is_ok():
+            context.seen.append((before, dict(found.ok)))
+
+
+@then("every vector had at least the ballots acknowledged before it was asked for")
+def then_acknowledged(context: Any) -> None:
+    assert len(context.seen) > 40, len(context.seen)
+    for before, vector in context.seen:
+        for key, ballot in before.items():
+            assert vector.get(key, BLANK) >= ballot, (key, ballot, vector.get(key))
+
+
+@then("no vector went back behind the one before")
+def then_forward(context: Any) -> None:
+    for (_, earlier), (_, later) in zip(context.seen, context.seen[1:], strict=False):
+        for key, ballot in earlier.items():
+            # why: an accepted ballot that no majority holds may be seen once and not again
+            if ballot in [each[0].get(key) for each in context.seen]:
+                assert later.get(key, BLANK) >= ballot, (key, ballot)
+
+
+@when("proposer 0 speaks the first version alone, and asks for the vector 2 times")
+def when_first(context: Any) -> None:
+    context.registers[0].ctx.speech = Speech(lowest=1, highest=1)
+    ask(context=context, times=2)
+
+
+def told(*, edition: int, keys: dict[str, Ballot]) -> bytes:
+    packer = Packer().u8(value=SINCE).u64(value=9).u64(value=edition)
+
+    def each(p: Packer, entry: tuple[str, Ballot]) -> None:
+        entry[1].write(packer=p.text(value=entry[0]))
+
+    return packer.many(values=list(keys.items()), each=each).bytes()
+
+
+@when("a source's edition 7 is read before its edition 5")
+def when_overtaken(context: Any) -> None:
+    known = KnownVectors()
+    known.read(answers=[told(edition=7, keys={"a": Ballot(9, 1), "b": Ballot(2, 1)})])
+    context.vector = known.read(answers=[told(edition=5, keys={"a": Ballot(4, 1), "b": Ballot(2, 1)})])
+    context.held = known.write(packer=Packer()).bytes()
+
+
+@then("what edition 7 brought stands")
+def then_stands(context: Any) -> None:
+    assert context.vector == {"a": Ballot(9, 1), "b": Ballot(2, 1)}, context.vector
+    assert context.held == Packer().u32(value=1).u64(value=9).u64(value=7).bytes()
