Guildhalls pull beats from one neighbour every 0.25 s, no longer from two every 0.4 s

Cause: two that were asked at the same moment with the same vector brought the same beats twice. Ruled out: longer pauses (a beat would be known later).

--- a/src/cinderstair/crier/news.py
+++ b/src/cinderstair/crier/news.py
@@ -67,12 +67,14 @@
         peers: Callable[[], list[str]] | None = None,
         everyUs: int = PULL_EVERY_US,
         quietUs: int = QUIET_US,
+        pull_from: int = PULL_FROM,
     ) -> None:
         self.ctx = ctx
         self.crowd = crowd
         self.read = read
         self.peers = peers or self._stalls
         self.quietUs = quietUs
+        self.pull_from = pull_from
         self.source = ctx.luck.getrandbits(62) | 1
         self.version = 0
         self.heard: dict[tuple[int, str], Heard[B]] = {}
@@ -175,7 +177,7 @@
         peers = self.peers()
         self.alone = not peers
         self.ctx.luck.shuffle(peers)
-        for address in peers[:PULL_FROM]:
+        for address in peers[: self.pull_from]:
             self.ctx.spawn(work=self._pull(address=address), name="news.pull")
 
     async def _pull(self, *, address: str) -> None:
--- a/src/cinderstair/guildhall/guildhall.py
+++ b/src/cinderstair/guildhall/guildhall.py
@@ -29,7 +29,9 @@
 from .status_text import describe, status_text
 
 VIEW_EVERY_US = 200_000
-NEWS_EVERY_US = 400_000
+NEWS_EVERY_US = 250_000
+# why: two that are asked at the same moment bring the same beats twice
+NEWS_FROM = 1
 OPINION_WAIT_US = 900_000
 TELL_WAIT_US = 400_000
 TROUBLE_EVERY_US = 250_000
@@ -76,6 +78,7 @@
             peers=self._neighbours,
             everyUs=NEWS_EVERY_US,
             quietUs=self.quiet_us,
+            pull_from=NEWS_FROM,
         )
         self.view = RegisterView(ctx=ctx, register=vault.register, everyUs=VIEW_EVERY_US, leaseUs=self.booth_lease_us)
         self.relay = Relay(
