Desks count what they answer by kind of record, with its bytes

Cause: what a guildhall sends between regions could be read from a simulation only. Ruled out: counting at the wire, which does not know kinds. Before: no counter. After: records.answered.KIND and records.bytes.KIND in 'cinderstair guildhall' and in the logs.

--- a/src/cinderstair/fairground/loads.py
+++ b/src/cinderstair/fairground/loads.py
@@ -6,11 +6,10 @@
 from collections import Counter
 from typing import Any
 
-from ..pitch import desks
+from ..pitch.desks import NAMES
 from .world import World
 
 SPAN_US = 10_000_000
-NAMES = {value: name for name, value in vars(desks).items() if name.isupper() and isinstance(value, int)}
 
 
 def work(*, world: World) -> Counter[str]:
@@ -18,7 +17,7 @@
     counts: Counter[str] = Counter()
     for name, count in world.wires.work.items():
         kind = name.removeprefix("record ")
-        counts[f"record {NAMES[int(kind)]}" if kind.isdecimal() else name] += count
+        counts[f"record {NAMES[int(kind)].upper()}" if kind.isdecimal() else name] += count
     counts["syncs"] = sum(world.disks[name].syncs for name in world.vaultNames)
     counts["jobs done"] = sum(event.outcome == "done" for event in world.history)
     return counts
--- a/src/cinderstair/pitch/desk.py
+++ b/src/cinderstair/pitch/desk.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 from .context import Context
-from .desks import PARLEY
+from .desks import NAMES, PARLEY
 from .speech import denial, unwrapped, wrapped
 from .unpacker import Unpacker
 
@@ -39,4 +39,7 @@
         if answer is None:
             raise ValueError("no such desk")
         response = await answer(unpacker)
+        name = NAMES[kind]
+        self.ctx.counters.add(name=f"records.answered.{name}")
+        self.ctx.counters.add(name=f"records.bytes.{name}", count=len(body) + len(response))
         return response if version == 1 else wrapped(version=version, body=response)
--- a/src/cinderstair/pitch/desks.py
+++ b/src/cinderstair/pitch/desks.py
@@ -13,3 +13,8 @@
 )
 CONTROL = frozenset([RELAY, SUSPECT, OPINION, BOOTHS, SHARDS, GUILDHALL])
 KINDS = MappingProxyType({1: FIRST, 2: FIRST | {PARLEY, COPY, TOUCH, FORGET} | CONTROL})
+
+# why: counters and tools name a kind as this page does
+NAMES = MappingProxyType(
+    {value: name.lower() for name, value in list(globals().items()) if name.isupper() and isinstance(value, int)}
+)
