Booths share what they see of primaries' positions by way of their guildhall

Cause: with 60 booths before 15 databases no booth by itself sees a statement of a primary within 0.6 s, so nearly every guarded read made its booth ask a far primary for its position, although all booths together see it many times a second. Change: with its question a booth tells the newest samples that it got, and is told those of the services that it reads of; the guildhall sends one booth to a primary of which nobody has told for 0.5 s. Moments go between machines as spans alone, each reckoned towards older (docs/design-platform.md, Fresh reads). A booth asks by itself 0.66 s before the least age that its reads allow. Ruled out: `receiving moment - age`, which is too young by the net's way; samples under another term than the view's settled lead, or from before its word was known; telling between guildhalls. Conclusion: one booth asks for all of its guildhall.

--- a/src/cinderstair/booth/freshness.py
+++ b/src/cinderstair/booth/freshness.py
@@ -21,7 +21,8 @@
 
     def __init__(self) -> None:
         self.samples: list[tuple[int, Position]] = []
-        self.wanted_us = 0
+        self.wanted_us = -(1 << 62)
+        self.wanted_age_us = 0
 
     def note(self, *, asked_us: int, position: Position) -> None:
         """Takes a sample from a primary that was known to lead when it was asked."""
--- a/src/cinderstair/booth/relayed_view.py
+++ b/src/cinderstair/booth/relayed_view.py
@@ -24,6 +24,7 @@
 from ..steward.shard_state import SHARDS_KEY, ShardPhase, ShardState, Vote, read_shard_state
 from ..steward.slots import SLOTS_KEY, Slots, readSlots
 from ..vault.ballot import Ballot
+from .sample_pool import SamplePool
 
 PULL_EVERY_US = 250_000
 HASTE_EVERY_US = 90_000
@@ -57,6 +58,8 @@
         self.leads: dict[str, ServiceLead] = {}
         self.lead_since_us: dict[str, int] = {}
         self.backends: dict[str, RelayedBackend] = {}
+        self.samples = SamplePool(ctx=ctx, lead=self.leads.get)
+        self.ask: Callable[[str], None] = lambda service: None
         self.changes: Subject[str] = Subject()
         self.troubled: Callable[[], tuple[str, ...]] = tuple
         self._waiting: list[asyncio.Future[None]] = []
@@ -116,6 +119,8 @@
             troubled=self.troubled(),
             version=version,
             vote=vote,
+            samples=() if whole else self.samples.told(source=self.source),
+            wanted=() if whole else self.samples.wants(),
         )
 
     async def _ask(self, *, address: str, question: RelayQuestion) -> Result[tuple[int, RelayAnswer], Fault]:
@@ -154,6 +159,12 @@
             return False
         # why: counted from our asking less the age that it had there, so it is never taken for younger than it is
         self.as_of_us = max(self.as_of_us, asked_us - answer.age_us)
+        # why: after what the answer says of leads, since a sample counts under the lead that it was asked under
+        self.samples.answered(
+            source=answer.source, answered_us=answer.answered_us, asked_us=asked_us, samples=answer.samples
+        )
+        for service in answer.ask:
+            self.ask(service)
         self._wake()
         return self.current
 
--- a/src/cinderstair/booth/router.feature
+++ b/src/cinderstair/booth/router.feature
@@ -68,6 +68,70 @@
     When the router tends for 500 ms
     Then a guarded read of bounded routes with 900 ms of age, whose session is at -, needs "3.5"
 
+  Scenario: Reads that may be older let a position be asked for later
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    And the primary's position was asked for 0 ms ago
+    Then a guarded read of bounded routes with 3000 ms of age, whose session is at -, needs "3.5"
+    When the router tends for 2200 ms
+    Then "state" were not sent to "a"
+    When the router tends for 400 ms
+    Then "a" was sent "state"
+
+  Scenario: The route that allows the least age says when a position is asked for
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    And the primary's position was asked for 0 ms ago
+    Then a guarded read of bounded routes with 900 ms of age, whose session is at -, needs "3.5"
+    And a guarded read of bounded routes with 3000 ms of age, whose session is at -, needs "3.5"
+    When the router tends for 500 ms
+    Then "state" were not sent to "a"
+    When the router tends for 300 ms
+    Then "a" was sent "state"
+
+  Scenario: What another booth was shown will do, and the primary is not asked
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    Then a guarded read of bounded routes with 900 ms of age, whose session is at -, needs "tooStale"
+    When for 3000 ms the guildhall tells of 3.6 under term 3 each 300 ms
+    Then "state" were not sent to "a"
+    And a guarded read of bounded routes with 900 ms of age, whose session is at -, needs "3.6"
+
+  Scenario: The booth that its guildhall sends asks the primary, and tells
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    And the primary's position was asked for 400 ms ago
+    When the guildhall sends this booth to the primary
+    Then "state" were not sent to "a"
+    When 200 ms pass
+    And the guildhall sends this booth to the primary
+    Then "a" was sent "state"
+    And it has 3.5 to tell
+
+  Scenario: What a move's fence cuts off is neither told nor taken from others
+    Given a booth, where "a" leads and "b" are copies, all at 3.9
+    And the primary's position was asked for 10 ms ago
+    Then it has 3.9 to tell
+    When the lead moves to "b" at 3.6, to be ready in 500 ms
+    Then it has nothing to tell
+    When the guildhall tells of 3.8 under term 3
+    And the guildhall tells of 3.8 under term 4
+    And the router tends for 100 ms
+    Then a guarded read of bounded routes with 900 ms of age, whose session is at -, needs "3.6"
+    When the lead settles on "b" after 10 ms
+    And 100 ms pass
+    And the guildhall tells of 3.8 under term 3
+    Then it has nothing to tell
+    And a guarded read of bounded routes with 900 ms of age, whose session is at -, needs "3.6"
+    When the guildhall tells of 4.1 under term 4
+    Then a guarded read of bounded routes with 70 ms of age, whose session is at -, needs "4.1"
+
+  Scenario: An answer that outlasts a move of the lead to the same backend is not told
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    And "a" answers "slow 200"
+    When the client begins to ask "PUT 1 x"
+    And 100 ms pass
+    And the lead moves to "a" at 3.5, to be ready in 500 ms
+    And the lead settles on "a" after 10 ms
+    And 200 ms pass
+    Then it has nothing to tell
+
   Scenario: A position that an old primary shows while the lead moves counts for nothing
     Given a booth, where "a" leads and "b" are copies, all at 3.5
     When the lead moves to "b" at 3.5, to be ready in 500 ms
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -8,6 +8,7 @@
 from ..charter.service_plan import PLAN_KEY, DatabaseRoute
 from ..crier.announcement import GONE
 from ..crier.beat import READY
+from ..crier.pooled_sample import ASK_AFTER_US
 from ..pitch.answers import ANSWERS
 from ..pitch.context import Context
 from ..pitch.fault import Fault
@@ -28,6 +29,8 @@
 CONTROL_LINKS = 6
 AGE_MARGIN_US = 60_000
 SAMPLE_AHEAD_US = 600_000
+# why: a look in a while, the answer of a far primary, and a link that is waited for
+ASK_SPAN_US = 600_000
 PRIMARY_READS = 3
 WANTED_FOR_US = 4_000_000
 LEAVE_US = 5_000_000
@@ -66,6 +69,9 @@
         self.turn = 0
         self.shards = Shards(ctx=ctx, view=view, busy=busy)
         view.troubled = self.troubled
+        view.samples.wanted = self._wanted
+        view.samples.note = self._pooled
+        view.ask = self._asked_for
         view.changes.subscribe(self._changed)
 
     def troubled(self) -> tuple[str, ...]:
@@ -195,9 +201,9 @@
         """Those that were read from lately, and of all others a part each time."""
         turns = len(names) // TENDED_AT_ONCE + 1
         self.turn = (self.turn + 1) % turns
-        now_us = self.ctx.nowUs()
-        wanted = [name for name, fresh in self.fresh.items() if now_us - fresh.wanted_us <= WANTED_FOR_US]
-        return [*dict.fromkeys(name for name in (*wanted, *names[self.turn :: turns]) if name in self.members)]
+        return [
+            *dict.fromkeys(name for name in (*self._wanted(), *names[self.turn :: turns]) if name in self.members)
+        ]
 
     def _sample(self, *, service: str, lead: ServiceLead) -> None:
         """Asks the primary for its position where reads will want one and no statement has shown it lately."""
@@ -205,11 +211,30 @@
         now_us = self.ctx.nowUs()
         if lead.state == LeadState.moving and lead.fence.term:
             fresh.fence(as_of_us=self.view.as_of_us, position=lead.fence)
-        if now_us - fresh.wanted_us > WANTED_FOR_US or now_us - fresh.newest_us < SAMPLE_AHEAD_US:
+        ahead_us = max(SAMPLE_AHEAD_US, fresh.wanted_age_us - AGE_MARGIN_US - ASK_SPAN_US)
+        if now_us - fresh.wanted_us > WANTED_FOR_US or now_us - fresh.newest_us < ahead_us:
             return
         if self.may_lead(service=service).is_ok():
             self.ctx.spawn(work=self.sample(service=service), name="sample")
 
+    def _wanted(self) -> list[str]:
+        """The services that guarded reads came for lately."""
+        now_us = self.ctx.nowUs()
+        return [name for name, fresh in self.fresh.items() if now_us - fresh.wanted_us <= WANTED_FOR_US]
+
+    def _pooled(self, service: str, asked_us: int, position: Position) -> None:
+        self.freshness(service=service).note(asked_us=asked_us, position=position)
+
+    def _asked_for(self, service: str) -> None:
+        """The guildhall has this booth ask for all of its booths, unless it has seen what will do already."""
+        lately = self.ctx.nowUs() - self.freshness(service=service).newest_us < ASK_AFTER_US
+        if not lately and self.may_lead(service=service).is_ok():
+            self.ctx.spawn(work=self._sample_for_all(service=service), name="sample")
+
+    async def _sample_for_all(self, *, service: str) -> None:
+        await self.sample(service=service)
+        self.view.hurry()
+
     async def sample(self, *, service: str) -> None:
         led = self.may_lead(service=service)
         if led.is_error():
@@ -240,6 +265,9 @@
         # why: the view's currency at the asking was checked then; here the lead must still be the same
         if lead.state != LeadState.moving and reply.position.term <= lead.term:
             self.freshness(service=service).note(asked_us=asked_us, position=reply.position)
+            # why: what was asked for before this word on the lead may lie past the fence that came between
+            if asked_us >= self.view.lead_since_us[service]:
+                self.view.samples.saw(service=service, term=lead.term, asked_us=asked_us, position=reply.position)
 
     def may_lead(self, *, service: str) -> Result[LinkPool, Fault]:
         """The primary's pool, while the view says surely that it leads."""
@@ -308,7 +336,10 @@
     def guard(self, *, route: DatabaseRoute, arrived_us: int, own: Position | None) -> Result[Position, Fault]:
         """The position that a copy must have for this read."""
         fresh = self.freshness(service=route.service)
-        fresh.wanted_us = self.ctx.nowUs()
+        now_us = self.ctx.nowUs()
+        lately = now_us - fresh.wanted_us <= WANTED_FOR_US
+        fresh.wanted_age_us = min(fresh.wanted_age_us, route.max_age_us) if lately else route.max_age_us
+        fresh.wanted_us = now_us
         since_us = self.shards.read_since_us(
             database=route.database, since_us=arrived_us - route.max_age_us + AGE_MARGIN_US
         )
--- /dev/null
+++ b/src/cinderstair/booth/sample_pool.py
@@ -0,0 +1,101 @@
+"""One booth's part in the samples that booths share by way of their guildhall."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from ..crier.pooled_sample import PooledSample, ToldSample, WantedSample, drift_us
+from ..pitch.context import Context
+from ..pitch.position import Position
+from ..steward.service_lead import LeadState, ServiceLead
+
+KEEP_US = 5_000_000
+UNTOLD_US = -(1 << 62)
+
+
+@dataclass(frozen=True, kw_only=True)
+class OwnSample:
+    term: int
+    asked_us: int
+    position: Position
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reference:
+    """An answer of one life of a guildhall: what its clock said at sending, and ours at receiving."""
+
+    source: int
+    answered_us: int
+    received_us: int
+
+
+class SamplePool:
+    """Spans alone go from one machine's clock to another's, and each is reckoned so no sample is too young."""
+
+    def __init__(self, *, ctx: Context, lead: Callable[[str], ServiceLead | None]) -> None:
+        self.ctx = ctx
+        self.lead = lead
+        self.wanted: Callable[[], Iterable[str]] = tuple
+        self.note: Callable[[str, int, Position], None] = lambda service, asked_us, position: None
+        self.own: dict[str, OwnSample] = {}
+        self.sending_us: dict[str, int] = {}
+        self.known_us: dict[str, int] = {}
+        self.editions: dict[str, int] = {}
+        self.reference: Reference | None = None
+
+    def saw(self, *, service: str, term: int, asked_us: int, position: Position) -> None:
+        """Takes a sample that counts here, asked for under the lead of this term."""
+        known = self.own.get(service)
+        if known is None or (known.term, known.asked_us) < (term, asked_us):
+            self.own[service] = OwnSample(term=term, asked_us=asked_us, position=position)
+
+    def _counts(self, *, service: str, term: int) -> bool:
+        lead = self.lead(service)
+        # why: what was shown under another lead may lie past a fence that has cut it off
+        return lead is not None and lead.state == LeadState.settled and lead.term == term
+
+    def told(self, *, source: int) -> tuple[ToldSample, ...]:
+        """What that guildhall does not know yet, by its own clock."""
+        reference, self.sending_us = self.reference, {}
+        if reference is None or reference.source != source:
+            return ()
+        found = []
+        for service, own in list(self.own.items()):
+            if self.ctx.nowUs() - own.asked_us > KEEP_US:
+                del self.own[service]
+                continue
+            if own.asked_us <= self.known_us.get(service, UNTOLD_US):
+                continue
+            moment_us = self._moment_us(reference=reference, asked_us=own.asked_us)
+            if moment_us >= 0 and self._counts(service=service, term=own.term):
+                self.sending_us[service] = own.asked_us
+                found.append(ToldSample(service=service, term=own.term, moment_us=moment_us, position=own.position))
+        return tuple(found)
+
+    def _moment_us(self, *, reference: Reference, asked_us: int) -> int:
+        """The guildhall's clock at our asking, or earlier: its answer was sent before we had it."""
+        span_us = asked_us - reference.received_us
+        return reference.answered_us + span_us - drift_us(span_us=span_us)
+
+    def wants(self) -> tuple[WantedSample, ...]:
+        return tuple(WantedSample(service=name, edition=self.editions.get(name, 0)) for name in self.wanted())
+
+    def answered(self, *, source: int, answered_us: int, asked_us: int, samples: tuple[PooledSample, ...]) -> None:
+        """Takes an answer: what was told has arrived, and what others saw counts here if the lead is the same."""
+        if self.reference is None or source != self.reference.source:
+            # why: another guildhall, or another life of this one, knows nothing of what was told
+            self.editions, self.known_us, self.sending_us = {}, {}, {}
+        self.reference = Reference(source=source, answered_us=answered_us, received_us=self.ctx.nowUs())
+        self.known_us.update(self.sending_us)
+        self.sending_us = {}
+        for sample in samples:
+            self.editions[sample.service] = sample.edition
+            if not self._counts(service=sample.service, term=sample.term):
+                continue
+            at_us = self._at_us(asked_us=asked_us, age_us=sample.age_us)
+            self.known_us[sample.service] = max(self.known_us.get(sample.service, UNTOLD_US), at_us)
+            self.ctx.counters.add(name="samples.pooled")
+            self.note(sample.service, at_us, sample.position)
+
+    def _at_us(self, *, asked_us: int, age_us: int) -> int:
+        """Our clock when it was asked for, or earlier: the age is of the answer, and we asked before it."""
+        return asked_us - age_us - drift_us(span_us=age_us)
--- a/src/cinderstair/crier/relay_record.py
+++ b/src/cinderstair/crier/relay_record.py
@@ -7,13 +7,22 @@
 from ..steward.shard_state import Vote
 from ..vault.ballot import Ballot, readBallot
 from .announcement import Announcement, read_announcement
+from .pooled_sample import (
+    PooledSample,
+    ToldSample,
+    WantedSample,
+    read_pooled_sample,
+    read_told_sample,
+    read_wanted_sample,
+)
 
 
 @dataclass(frozen=True, kw_only=True)
 class RelayQuestion:
     """`source` and `edition` say what the asker has; a source of 0 asks for everything.
 
-    `vote` is what the booth says of the shard map of that version.
+    `vote` is what the booth says of the shard map of that version. `samples` are told to this source alone, by
+    whose clock their moments are; `wanted` are those that the booth would be told.
     """
 
     booth: str
@@ -23,11 +32,15 @@
     troubled: tuple[str, ...] = ()
     version: int = 0
     vote: Vote = Vote.silent
+    samples: tuple[ToldSample, ...] = ()
+    wanted: tuple[WantedSample, ...] = ()
 
     def write(self, *, packer: Packer) -> Packer:
         packer.text(value=self.booth).text(value=self.site).u64(value=self.source).u64(value=self.edition)
         packer.many(values=self.troubled, each=lambda p, name: p.text(value=name))
-        return packer.u64(value=self.version).u8(value=self.vote)
+        packer.u64(value=self.version).u8(value=self.vote)
+        packer.many(values=self.samples, each=lambda p, sample: sample.write(packer=p))
+        return packer.many(values=self.wanted, each=lambda p, want: want.write(packer=p))
 
 
 def read_relay_question(*, unpacker: Unpacker) -> RelayQuestion:
@@ -39,6 +52,8 @@
         troubled=tuple(unpacker.many(each=lambda u: u.text())),
         version=unpacker.u64(),
         vote=Vote(unpacker.u8()),
+        samples=tuple(unpacker.many(each=read_told_sample)),
+        wanted=tuple(unpacker.many(each=read_wanted_sample)),
     )
     unpacker.done()
     return question
@@ -59,7 +74,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RelayAnswer:
-    """`age_us` is how old the guildhall's own knowledge of the register is, by its own clock."""
+    """`age_us` is how old the guildhall's own knowledge of the register is, by its own clock.
+
+    `answered_us` is what that clock says at the answer. `ask` names the services whose primaries the asker is to ask
+    for their positions.
+    """
 
     source: int
     edition: int
@@ -68,6 +87,9 @@
     values: tuple[RelayedValue, ...] = ()
     backends: tuple[RelayedBackend, ...] = ()
     guildhalls: tuple[str, ...] = ()
+    answered_us: int = 0
+    samples: tuple[PooledSample, ...] = ()
+    ask: tuple[str, ...] = ()
 
     def bytes(self) -> bytes:
         packer = Packer().u64(value=self.source).u64(value=self.edition).u64(value=self.age_us)
@@ -82,7 +104,9 @@
             p.u8(value=int(entry.quiet))
 
         packer.many(values=self.values, each=write_value).many(values=self.backends, each=write_backend)
-        return packer.many(values=self.guildhalls, each=lambda p, a: p.text(value=a)).bytes()
+        packer.many(values=self.guildhalls, each=lambda p, a: p.text(value=a)).u64(value=self.answered_us)
+        packer.many(values=self.samples, each=lambda p, sample: sample.write(packer=p))
+        return packer.many(values=self.ask, each=lambda p, name: p.text(value=name)).bytes()
 
 
 def read_relay_answer(*, data: bytes) -> RelayAnswer:
@@ -94,6 +118,8 @@
         each=lambda u: RelayedBackend(announcement=read_announcement(unpacker=u), quiet=bool(u.u8()))
     )
     guildhalls = unpacker.many(each=lambda u: u.text())
+    answered_us, samples = unpacker.u64(), unpacker.many(each=read_pooled_sample)
+    ask = unpacker.many(each=lambda u: u.text())
     unpacker.done()
     return RelayAnswer(
         source=source,
@@ -103,4 +129,7 @@
         values=tuple(values),
         backends=tuple(backends),
         guildhalls=tuple(guildhalls),
+        answered_us=answered_us,
+        samples=tuple(samples),
+        ask=tuple(ask),
     )
--- a/src/cinderstair/fairground/platformsim/platform_faults.py
+++ b/src/cinderstair/fairground/platformsim/platform_faults.py
@@ -13,8 +13,10 @@
 from ...booth.link_pool import LinkPool
 from ...booth.relayed_view import RelayedView
 from ...booth.router import Router
+from ...booth.sample_pool import SamplePool
 from ...booth.session import Session
 from ...guildhall.guildhall import Guildhall
+from ...guildhall.sample_board import SampleBoard
 from ...pitch.kind import Kind
 from ...steward.promotion_duty import PromotionDuty
 from ..simdisk import SimDisk
@@ -132,6 +134,19 @@
     return [patch.object(BackendLink, "send", unguarded), patch.object(BackendLink, "begin", begin_unguarded)]
 
 
+def pooled_for_new() -> Patches:
+    """What another booth has seen is given again and again, and taken for seen when the guildhall's answer came."""
+    given = SampleBoard.given
+
+    def again(self: Any, *, wanted: Any, known: bool) -> Any:
+        return given(self, wanted=wanted, known=False)
+
+    return [
+        patch.object(SampleBoard, "given", again),
+        patch.object(SamplePool, "_at_us", lambda self, *, asked_us, age_us: self.ctx.nowUs()),
+    ]
+
+
 def own_forgotten() -> Patches:
     """A session's own commits are not asked for."""
     guard = Router.guard
@@ -248,6 +263,7 @@
         view_forever,
         no_guard,
         own_forgotten,
+        pooled_for_new,
         worst_copy,
         drop_at_stop,
         deaf_to_emptying,
--- a/src/cinderstair/fairground/platformsim/platformfaults.feature
+++ b/src/cinderstair/fairground/platformsim/platformfaults.feature
@@ -19,6 +19,7 @@
       | view_forever       | booth_cut_off_unconfirmed | 1    | ONE     | by old primary                    |
       | no_guard           | copies_lag                | 2    | STALE   | recent_enough read                |
       | own_forgotten      | copies_lag                | 1    | STALE   | self_hosted read                  |
+      | pooled_for_new     | copies_lag                | 2    | STALE   | recent_enough read                |
       | worst_copy         | primary_crash_copy_deaf   | 1    | LOST    | leads without                     |
       | drop_at_stop       | booths_stopped            | 1    | LOST    | closed on                         |
       | deaf_to_emptying   | release_copies            | 1    | DRAIN   | after it said it leaves           |
--- a/src/cinderstair/guildhall/relay.py
+++ b/src/cinderstair/guildhall/relay.py
@@ -17,6 +17,7 @@
 from ..steward.shard_state import Vote
 from ..vault.register import Found
 from ..vault.register_view import RegisterView
+from .sample_board import SampleBoard
 
 TICK_US = 100_000
 FORGET_US = 30_000_000
@@ -46,6 +47,7 @@
         self.shorten = shorten
         self.source = ctx.luck.getrandbits(62) | 1
         self.edition = 1
+        self.board = SampleBoard(ctx=ctx)
         self.value_editions: dict[str, int] = {}
         self.backends: dict[str, tuple[int, RelayedBackend]] = {}
         self.booths: dict[str, tuple[int, int, Vote]] = {}
@@ -62,6 +64,7 @@
     def look(self) -> None:
         """Takes from the news what booths have to know; a beat that says nothing new is none of it."""
         now_us = self.ctx.nowUs()
+        self.board.look()
         for name, heard in list(self.news.best.items()):
             beat = heard.beat
             if beat.state == GONE and now_us - heard.bornUs > FORGET_US:
@@ -84,7 +87,11 @@
         self.booths[question.booth] = (self.ctx.nowUs(), question.version, question.vote)
         for name in question.troubled:
             self.on_trouble(name, question.booth)
-        whole = question.source != self.source or question.edition > self.edition
+        same_life = question.source == self.source
+        if same_life:
+            # why: moments that another life of this guildhall has given out say nothing by this one's clock
+            self.board.tell(samples=question.samples)
+        whole = not same_life or question.edition > self.edition
         since = 0 if whole else question.edition
         values = tuple(
             self._value(key=key, found=found)
@@ -101,6 +108,9 @@
             values=values,
             backends=backends,
             guildhalls=self.told if whole or self.told_edition > since else (),
+            answered_us=self.ctx.nowUs(),
+            samples=self.board.given(wanted=question.wanted, known=same_life),
+            ask=self.board.missing(wanted=question.wanted),
         ).bytes()
 
     def _value(self, *, key: str, found: Found) -> RelayedValue:
--- a/steps/boothsteps.py
+++ b/steps/boothsteps.py
@@ -28,6 +28,7 @@
 from cinderstair.charter.service_plan import Consistency
 from cinderstair.crier.announcement import GONE
 from cinderstair.crier.beat import EMPTYING, READY
+from cinderstair.crier.pooled_sample import PooledSample
 from cinderstair.crier.relay_record import RelayAnswer, RelayedValue
 from cinderstair.pitch.position import Position
 from cinderstair.steward.service_lead import LeadState, ServiceLead, service_lead_key
@@ -459,6 +460,42 @@
         backend.log.clear()
 
 
+@when("the guildhall tells of {at} under term {term:d}")
+def when_hall_tells(context: Any, at: str, term: int) -> None:
+    hall_tells(context=context, at=at, term=term, age_us=1_000)
+
+
+def hall_tells(*, context: Any, at: str, term: int, age_us: int) -> None:
+    found = position(text=at)
+    assert found is not None
+    now_us = context.stage.now_us
+    context.told.turn += 1
+    sample = PooledSample(service="s", term=term, age_us=age_us, position=found, edition=context.told.turn)
+    context.told.view.samples.answered(source=1, answered_us=7_000_000, asked_us=now_us, samples=(sample,))
+
+
+@when("for {wait_ms:d} ms the guildhall tells of {at} under term {term:d} each {every_ms:d} ms")
+def when_hall_tells_often(context: Any, every_ms: int, at: str, term: int, wait_ms: int) -> None:
+    # why: the router tends meanwhile, as it does all the time
+    for _ in range(wait_ms // every_ms):
+        hall_tells(context=context, at=at, term=term, age_us=200_000)
+        when_tends(context=context, wait_ms=every_ms)
+
+
+@when("the guildhall sends this booth to the primary")
+def when_hall_sends(context: Any) -> None:
+    context.stage.call(call=lambda: context.told.view.ask("s"))
+    context.stage.advance(for_us=50_000)
+
+
+@then("it has {what} to tell")
+def then_to_tell(context: Any, what: str) -> None:
+    samples = context.told.view.samples
+    samples.answered(source=1, answered_us=7_000_000, asked_us=context.stage.now_us, samples=())
+    found = ", ".join(shown(at=each.position) for each in samples.told(source=1)) or "nothing"
+    assert found == what, found
+
+
 @when('the client asks "{text}"')
 def when_client_asks(context: Any, text: str) -> None:
     began_us = context.stage.now_us
--- a/steps/recordsteps.py
+++ b/steps/recordsteps.py
@@ -15,6 +15,7 @@
     read_service_plan,
 )
 from cinderstair.crier.announcement import GONE, STATES, Announcement, read_announcement
+from cinderstair.crier.pooled_sample import PooledSample, ToldSample, WantedSample
 from cinderstair.crier.relay_record import (
     RelayAnswer,
     RelayedBackend,
@@ -103,6 +104,13 @@
         source=u64(luck),
         edition=u64(luck),
         troubled=tuple(text(luck) for _ in range(luck.randrange(4))),
+        samples=tuple(
+            ToldSample(
+                service=text(luck), term=u64(luck), moment_us=u64(luck), position=Position(u64(luck), u64(luck))
+            )
+            for _ in range(luck.randrange(4))
+        ),
+        wanted=tuple(WantedSample(service=text(luck), edition=u64(luck)) for _ in range(luck.randrange(4))),
     )
 
 
@@ -123,6 +131,18 @@
             for _ in range(luck.randrange(4))
         ),
         guildhalls=tuple(text(luck) for _ in range(luck.randrange(4))),
+        answered_us=u64(luck),
+        samples=tuple(
+            PooledSample(
+                service=text(luck),
+                term=u64(luck),
+                age_us=u64(luck),
+                position=Position(u64(luck), u64(luck)),
+                edition=u64(luck),
+            )
+            for _ in range(luck.randrange(4))
+        ),
+        ask=tuple(text(luck) for _ in range(luck.randrange(4))),
     )
 
 
