A booth goes to the guildhall of its own zone as soon as that one is current

Cause: booths chose their guildhall once, by whose answer came first; when all machines begin together only some guildhalls are current by then, and later the one asked already has its connection open and wins the race. So 60 booths asked 3 of 6 guildhalls, partly in other regions, and the samples that they share travelled there too. Change: a brief question asks for age and place alone; the nearest by place that is current is taken, of those as near the quickest; the booth looks again after 2 s, then ever more seldom, down to once a minute, beside its pulling. Whoever only looks is not counted among a guildhall's booths. The start asks one guildhall for everything, no longer all. Conclusion: a zone's booths share one guildhall, and what they share stays in the zone.

--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -28,7 +28,7 @@
         distance: Callable[[str], int],
     ) -> None:
         self.ctx = ctx
-        self.view = RelayedView(ctx=ctx, site=site, seeds=seeds)
+        self.view = RelayedView(ctx=ctx, site=site, seeds=seeds, distance=distance)
         self.sessions: set[Session] = set()
         self.router = Router(ctx=ctx, view=self.view, dialer=dialer, distance=distance, busy=self._busy)
         self.draining = False
--- a/src/cinderstair/booth/relayed_view.feature
+++ b/src/cinderstair/booth/relayed_view.feature
@@ -15,6 +15,46 @@
     When the guildhalls "g1, g2" are silent for 600 ms
     Then the view is not current
 
+  Scenario: The nearest guildhall is found again, also when it was not there at first
+    Given "g2" stands in another zone
+    And "g1" is silent
+    When the view chooses, and keeps itself for 1500 ms
+    Then it asks "g2"
+    When "g1" is back, and the view keeps itself for 4000 ms
+    Then it asks "g1"
+    When "g1" is silent, and the view keeps itself for 5000 ms
+    Then it asks "g2"
+    When "g1" is back, and the view keeps itself for 10000 ms
+    Then it asks "g1"
+    And the view is current
+
+  Scenario: One of the booth's own zone is nearer than any that answers sooner
+    Given "g1" is 30 ms away
+    And "g2" stands in another zone
+    When the view chooses, and keeps itself for 500 ms
+    Then it asks "g1"
+
+  Scenario: A booth that begins waits for no guildhall that is silent
+    Given "g2" stands in another zone
+    And "g1" is silent
+    When the view chooses, and keeps itself for 10 ms
+    Then it asks "g2"
+    And that took at most 100 ms
+
+  Scenario: Of those as near it stays with the one that it asks
+    Given "g2" is 30 ms away
+    And "g1" is silent
+    When the view chooses, and keeps itself for 500 ms
+    And "g1" is back, and the view keeps itself for 20000 ms
+    Then it asks "g2"
+
+  Scenario: While the nearest is looked for, the asking goes on
+    Given "g2" stands in another zone
+    And "g1" is silent
+    When the view chooses, and keeps itself for 1800 ms
+    Then it asks "g2"
+    And over 1500 ms the view is never older than 320 ms
+
   Scenario: A guildhall that is silent is left for another
     When the view keeps itself for 1000 ms
     And the guildhall that it asks is silent for 1500 ms
--- a/src/cinderstair/booth/relayed_view.py
+++ b/src/cinderstair/booth/relayed_view.py
@@ -29,6 +29,9 @@
 PULL_EVERY_US = 250_000
 HASTE_EVERY_US = 90_000
 PULL_WAIT_US = 450_000
+CHOOSE_AGAIN_US = 2_000_000
+CHOOSE_SELDOM_US = 60_000_000
+OTHERS_WAIT_US = 50_000
 # why: no setting, since whoever moves a lead waits for all views by its own figure, so all must have the same
 LEASE_US = 1_000_000
 
@@ -41,10 +44,18 @@
 class RelayedView:
     """What it says of leads counts only while it is current; the lists may be used for longer."""
 
-    def __init__(self, *, ctx: Context, site: str, seeds: Callable[[], tuple[str, ...]]) -> None:
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        site: str,
+        seeds: Callable[[], tuple[str, ...]],
+        distance: Callable[[str], int] = lambda site: 0,
+    ) -> None:
         self.ctx = ctx
         self.site = site
         self.seeds = seeds
+        self.distance = distance
         self.guildhalls: tuple[str, ...] = ()
         self.asked = ""
         self.source = 0
@@ -65,6 +76,9 @@
         self._waiting: list[asyncio.Future[None]] = []
         self._hurry = asyncio.Event()
         self._away: dict[str, int] = {}
+        self._nearest = ""
+        self._choose_us = ctx.nowUs() + CHOOSE_AGAIN_US
+        self._choose_pause_us = CHOOSE_AGAIN_US
 
     @property
     def current(self) -> bool:
@@ -77,6 +91,11 @@
     async def keep(self) -> None:
         """Pulls for as long as the process runs."""
         while True:
+            if self.ctx.nowUs() >= self._choose_us:
+                # why: a guildhall that is silent holds the choice up, and must not hold up the asking
+                self.ctx.spawn(work=self.choose(), name="view.choose")
+            if self._nearest:
+                self.asked, self._nearest = self._nearest, ""
             pulled = await self.pull()
             moving = any(lead.state != LeadState.settled for lead in self.leads.values())
             moving = moving or self.shards.phase != ShardPhase.steady
@@ -96,18 +115,29 @@
         return sorted(addresses, key=lambda a: (self._away.get(a, 0) > now_us, a != self.asked))
 
     async def choose(self) -> None:
-        """Asks all that are known once, and stays with the one that answers first, which is the nearest."""
+        """Asks all that are known once, and goes to the nearest that is current; of those as near to the quickest."""
+        # why: the nearest may be just beginning, so it is looked for again, ever more seldom
+        self._choose_us = self.ctx.nowUs() + self._choose_pause_us
+        self._choose_pause_us = min(2 * self._choose_pause_us, CHOOSE_SELDOM_US)
+        question = RelayQuestion(booth=self.ctx.name, site=self.site, brief=True)
         tasks = {
-            self.ctx.spawn(work=self._ask(address=address, question=self._question(whole=True))): address
+            self.ctx.spawn(work=self._ask(address=address, question=question)): address
             for address in dict.fromkeys((*self.guildhalls, *self.seeds()))
         }
-        pending = set(tasks)
-        while pending:
-            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        pending, best, found = set(tasks), (1 << 30, True), ""
+        while pending and best != (0, False):
+            # why: a booth that begins must not wait for a guildhall that is silent once another has answered
+            wait_s = OTHERS_WAIT_US / 1_000_000 if found and not self.asked else None
+            done, pending = await asyncio.wait(pending, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED)
+            if not done:
+                break
             for task in done:
                 if task.result().is_ok() and task.result().ok[1].age_us < LEASE_US:
-                    self.asked = tasks[task]
-                    return
+                    # why: among those as near the one asked stays, since another has to tell everything anew
+                    cost = self.distance(task.result().ok[1].site), bool(self.asked) and tasks[task] != self.asked
+                    if cost < best:
+                        best, found = cost, tasks[task]
+        self._nearest = found
 
     def _question(self, *, whole: bool) -> RelayQuestion:
         version, vote = self.vote()
@@ -138,6 +168,10 @@
     async def pull(self) -> bool:
         """One question to one guildhall; True where what it said is current."""
         address = self._order()[0]
+        if address != self.asked:
+            # why: whoever is taken in haste may be far away
+            self._choose_pause_us = CHOOSE_AGAIN_US
+            self._choose_us = self.ctx.nowUs() + CHOOSE_AGAIN_US
         # why: editions are counted by each guildhall for itself, so another one is asked for everything
         result = await self._ask(address=address, question=self._question(whole=address != self.asked))
         if result.is_error():
--- a/src/cinderstair/crier/relay_record.py
+++ b/src/cinderstair/crier/relay_record.py
@@ -22,7 +22,8 @@
     """`source` and `edition` say what the asker has; a source of 0 asks for everything.
 
     `vote` is what the booth says of the shard map of that version. `samples` are told to this source alone, by
-    whose clock their moments are; `wanted` are those that the booth would be told.
+    whose clock their moments are; `wanted` are those that the booth would be told. A `brief` question is about
+    the age and the source alone.
     """
 
     booth: str
@@ -34,13 +35,15 @@
     vote: Vote = Vote.silent
     samples: tuple[ToldSample, ...] = ()
     wanted: tuple[WantedSample, ...] = ()
+    brief: bool = False
 
     def write(self, *, packer: Packer) -> Packer:
         packer.text(value=self.booth).text(value=self.site).u64(value=self.source).u64(value=self.edition)
         packer.many(values=self.troubled, each=lambda p, name: p.text(value=name))
         packer.u64(value=self.version).u8(value=self.vote)
         packer.many(values=self.samples, each=lambda p, sample: sample.write(packer=p))
-        return packer.many(values=self.wanted, each=lambda p, want: want.write(packer=p))
+        packer.many(values=self.wanted, each=lambda p, want: want.write(packer=p))
+        return packer.u8(value=int(self.brief))
 
 
 def read_relay_question(*, unpacker: Unpacker) -> RelayQuestion:
@@ -54,6 +57,7 @@
         vote=Vote(unpacker.u8()),
         samples=tuple(unpacker.many(each=read_told_sample)),
         wanted=tuple(unpacker.many(each=read_wanted_sample)),
+        brief=bool(unpacker.u8()),
     )
     unpacker.done()
     return question
@@ -77,7 +81,7 @@
     """`age_us` is how old the guildhall's own knowledge of the register is, by its own clock.
 
     `answered_us` is what that clock says at the answer. `ask` names the services whose primaries the asker is to ask
-    for their positions.
+    for their positions. `site` is told to brief questions alone.
     """
 
     source: int
@@ -90,6 +94,7 @@
     answered_us: int = 0
     samples: tuple[PooledSample, ...] = ()
     ask: tuple[str, ...] = ()
+    site: str = ""
 
     def bytes(self) -> bytes:
         packer = Packer().u64(value=self.source).u64(value=self.edition).u64(value=self.age_us)
@@ -106,7 +111,7 @@
         packer.many(values=self.values, each=write_value).many(values=self.backends, each=write_backend)
         packer.many(values=self.guildhalls, each=lambda p, a: p.text(value=a)).u64(value=self.answered_us)
         packer.many(values=self.samples, each=lambda p, sample: sample.write(packer=p))
-        return packer.many(values=self.ask, each=lambda p, name: p.text(value=name)).bytes()
+        return packer.many(values=self.ask, each=lambda p, name: p.text(value=name)).text(value=self.site).bytes()
 
 
 def read_relay_answer(*, data: bytes) -> RelayAnswer:
@@ -119,7 +124,7 @@
     )
     guildhalls = unpacker.many(each=lambda u: u.text())
     answered_us, samples = unpacker.u64(), unpacker.many(each=read_pooled_sample)
-    ask = unpacker.many(each=lambda u: u.text())
+    ask, site = unpacker.many(each=lambda u: u.text()), unpacker.text()
     unpacker.done()
     return RelayAnswer(
         source=source,
@@ -132,4 +137,5 @@
         answered_us=answered_us,
         samples=tuple(samples),
         ask=tuple(ask),
+        site=site,
     )
--- a/src/cinderstair/guildhall/relay.feature
+++ b/src/cinderstair/guildhall/relay.feature
@@ -67,6 +67,18 @@
     And 3000 ms pass at the relay
     Then the answer is between 2900 and 3250 ms old
 
+  Scenario: Who looks for the nearest guildhall is told of its place and age alone, and is none of its booths
+    Given the register holds "slots" as "s1"
+    And the backends "a, b" beat
+    Then a booth that looks for the nearest is told the site "kingston", an age below 250 ms, and nothing else
+    And within 1000 ms it saw the booths "none"
+
+  Scenario: Samples are taken only from who knows this life of the guildhall
+    When a booth tells of a sample as from another life
+    Then the relay has been told of 0 samples
+    When a booth tells of a sample as from this life
+    Then the relay has been told of 1 samples
+
   Scenario: What booths find silent is passed on, and who asked lately is known
     When "booth-1" asks and finds "a, b" silent
     And 5000 ms pass at the relay
--- a/src/cinderstair/guildhall/relay.py
+++ b/src/cinderstair/guildhall/relay.py
@@ -84,6 +84,11 @@
 
     async def answer(self, unpacker: Unpacker) -> bytes:
         question = read_relay_question(unpacker=unpacker)
+        if question.brief:
+            # why: whoever looks for the nearest guildhall asks them all, and is none of the booths of most
+            return RelayAnswer(
+                source=self.source, edition=self.edition, age_us=self._age_us(), whole=False, site=self.ctx.site
+            ).bytes()
         self.booths[question.booth] = (self.ctx.nowUs(), question.version, question.vote)
         for name in question.troubled:
             self.on_trouble(name, question.booth)
@@ -103,7 +108,7 @@
         return RelayAnswer(
             source=self.source,
             edition=self.edition,
-            age_us=max(0, self.ctx.nowUs() - self.view.asOfUs),
+            age_us=self._age_us(),
             whole=whole,
             values=values,
             backends=backends,
@@ -113,6 +118,9 @@
             ask=self.board.missing(wanted=question.wanted),
         ).bytes()
 
+    def _age_us(self) -> int:
+        return max(0, self.ctx.nowUs() - self.view.asOfUs)
+
     def _value(self, *, key: str, found: Found) -> RelayedValue:
         return RelayedValue(key=key, ballot=found.ballot, value=self.shorten(key, found.value))
 
--- a/steps/guildhallsteps.py
+++ b/steps/guildhallsteps.py
@@ -13,6 +13,7 @@
 from cinderstair.crier.announcement import GONE, Announcement
 from cinderstair.crier.beat import EMPTYING, READY
 from cinderstair.crier.news import News
+from cinderstair.crier.pooled_sample import ToldSample
 from cinderstair.crier.relay_record import RelayAnswer, RelayQuestion, read_relay_answer
 from cinderstair.guildhall.booth_census import BoothCensus
 from cinderstair.guildhall.relay import Relay
@@ -750,6 +751,30 @@
     assert least_ms * 1_000 <= age_us <= most_ms * 1_000, age_us
 
 
+@then('a booth that looks for the nearest is told the site "{site}", an age below {most_ms:d} ms, and nothing else')
+def then_brief(context: Any, site: str, most_ms: int) -> None:
+    question = RelayQuestion(booth="booth-9", site="kingston", brief=True)
+    body = question.write(packer=Packer().u8(value=RELAY)).bytes()
+    answer = read_relay_answer(data=context.stage.run(work=context.hall.desk.answer(body)))
+    assert answer.site == site and 0 <= answer.age_us <= most_ms * 1_000, answer
+    assert not (answer.values or answer.backends or answer.guildhalls or answer.samples or answer.ask), answer
+
+
+@when("a booth tells of a sample as from {what} life")
+def when_tells_sample(context: Any, what: str) -> None:
+    ask_relay(context=context)
+    sample = ToldSample(service="s", term=3, moment_us=context.hall.ctx.nowUs() - 1_000, position=Position(3, 7))
+    source = context.source + (what == "another")
+    question = RelayQuestion(booth="booth-1", site="kingston", source=source, edition=1, samples=(sample,))
+    body = question.write(packer=Packer().u8(value=RELAY)).bytes()
+    context.stage.run(work=context.hall.desk.answer(body))
+
+
+@then("the relay has been told of {count:d} samples")
+def then_told_samples(context: Any, count: int) -> None:
+    assert len(context.hall.relay.board.entries) == count, context.hall.relay.board.entries
+
+
 @when("the relay's guildhall is cut off from the register")
 def when_relay_cut(context: Any) -> None:
     context.hall.register.cut = True
@@ -768,7 +793,7 @@
 @then('within {within_ms:d} ms it saw the booths "{names}"')
 def then_saw(context: Any, within_ms: int, names: str) -> None:
     seen = context.hall.relay.seen(within_us=within_ms * 1_000)
-    assert " ".join(sorted(entry[0] for entry in seen)) == names, seen
+    assert (" ".join(sorted(entry[0] for entry in seen)) or "none") == names, seen
 
 
 # -- slots --
--- a/steps/recordsteps.py
+++ b/steps/recordsteps.py
@@ -111,6 +111,7 @@
             for _ in range(luck.randrange(4))
         ),
         wanted=tuple(WantedSample(service=text(luck), edition=u64(luck)) for _ in range(luck.randrange(4))),
+        brief=luck.random() < 0.5,
     )
 
 
@@ -143,6 +144,7 @@
             for _ in range(luck.randrange(4))
         ),
         ask=tuple(text(luck) for _ in range(luck.randrange(4))),
+        site=text(luck),
     )
 
 
--- a/steps/viewsteps.py
+++ b/steps/viewsteps.py
@@ -26,12 +26,18 @@
         self.edition = 1
         self.age_us = 0
         self.silent = False
+        self.away_us = 2_000
+        self.site = SITE
         self.noise = False
         self.values: tuple[RelayedValue, ...] = ()
         self.asked: list[int] = []
 
     def answer(self, *, body: bytes) -> bytes:
         question = read_relay_question(unpacker=Unpacker(data=body[1:]))
+        if question.brief:
+            return RelayAnswer(
+                source=self.number, edition=self.edition, age_us=self.age_us, whole=False, site=self.site
+            ).bytes()
         self.asked.append(question.edition if question.source == self.number else 0)
         whole = question.source != self.number
         if self.noise:
@@ -55,7 +61,7 @@
         if relay.silent:
             await asyncio.sleep(waitUs / 1_000_000)
             return Error(Fault(kind=Kind.wireUnsure, why=f"{address}: silent"))
-        await asyncio.sleep(0.002)
+        await asyncio.sleep(relay.away_us / 1_000_000)
         return Ok(relay.answer(body=body))
 
 
@@ -65,7 +71,12 @@
     addresses = tuple(names.split(", "))
     context.relays = {name: FakeRelay(number=number) for number, name in enumerate(addresses, start=1)}
     context.stage.ctx.net = RelayNet(relays=context.relays)
-    context.view = RelayedView(ctx=context.stage.ctx, site=SITE, seeds=lambda: addresses)
+    context.view = RelayedView(
+        ctx=context.stage.ctx,
+        site=SITE,
+        seeds=lambda: addresses,
+        distance=lambda site: 0 if site == SITE else 3,
+    )
     context.keeping = None
 
 
@@ -110,6 +121,45 @@
         assert not context.keeping.done() or context.keeping.result()
 
 
+@given('"{name}" is {away_ms:d} ms away')
+def given_far(context: Any, name: str, away_ms: int) -> None:
+    context.relays[name].away_us = away_ms * 1_000
+
+
+@given('"{name}" stands in another zone')
+def given_other_zone(context: Any, name: str) -> None:
+    context.relays[name].site = "elsewhere"
+
+
+@given('"{name}" is silent')
+def given_silent(context: Any, name: str) -> None:
+    context.relays[name].silent = True
+
+
+@when("the view chooses, and keeps itself for {wait_ms:d} ms")
+def when_chooses(context: Any, wait_ms: int) -> None:
+    began_us = context.stage.now_us
+    context.stage.run(work=context.view.choose())
+    context.took_us = context.stage.now_us - began_us
+    when_keeps(context=context, wait_ms=wait_ms)
+
+
+@when('"{name}" is {word}, and the view keeps itself for {wait_ms:d} ms')
+def when_changes(context: Any, name: str, word: str, wait_ms: int) -> None:
+    context.relays[name].silent = word == "silent"
+    context.stage.advance(for_us=wait_ms * 1_000)
+
+
+@then("that took at most {most_ms:d} ms")
+def then_choice_took(context: Any, most_ms: int) -> None:
+    assert context.took_us <= most_ms * 1_000, context.took_us
+
+
+@then('it asks "{name}"')
+def then_asks(context: Any, name: str) -> None:
+    assert context.view.asked == name, context.view.asked
+
+
 @when('the guildhalls "{names}" are silent for {wait_ms:d} ms')
 def when_silent(context: Any, names: str, wait_ms: int) -> None:
     for name in names.split(", "):
@@ -123,6 +173,14 @@
     context.stage.advance(for_us=wait_ms * 1_000)
 
 
+@then("over {wait_ms:d} ms the view is never older than {most_ms:d} ms")
+def then_never_older(context: Any, wait_ms: int, most_ms: int) -> None:
+    for _ in range(wait_ms // 10):
+        context.stage.advance(for_us=10_000)
+        older_us = context.stage.now_us - context.view.as_of_us
+        assert older_us <= most_ms * 1_000, older_us
+
+
 @then("the view is current")
 def then_current(context: Any) -> None:
     assert context.view.current
