A table in the register says where each booth stands and takes records

Cause: a booth knows the others by name and id alone, so nothing can be dealt "nearest first" among them, and no booth can reach another. Change: a booth tells its guildhall its site and record address (a record every 2 s) until the table that it is told says the same; the holder of the slot duty gathers them from all guildhalls and writes those of booths with ids in one write. Nothing is told and nothing written once the table is right. Ruled out: a field in each question of a booth (four a second for ever).

--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -6,7 +6,9 @@
 
 from ..pitch.context import Context
 from ..pitch.fault import Fault
+from ..steward.booth_places import BoothPlace
 from .link import Dialer
+from .place_teller import PlaceTeller
 from .relayed_view import RelayedView
 from .router import Router
 from .session import Session
@@ -26,11 +28,13 @@
         seeds: Callable[[], tuple[str, ...]],
         dialer: Dialer,
         distance: Callable[[str], int],
+        records: str = "",
     ) -> None:
         self.ctx = ctx
         self.view = RelayedView(ctx=ctx, site=site, seeds=seeds, distance=distance)
         self.sessions: set[Session] = set()
         self.router = Router(ctx=ctx, view=self.view, dialer=dialer, distance=distance, busy=self._busy)
+        self.place = PlaceTeller(ctx=ctx, view=self.view, place=BoothPlace(site=site, records=records))
         self.draining = False
         self.told_ready = False
 
@@ -55,6 +59,7 @@
 
     def _tend(self) -> None:
         self.router.tend()
+        self.place.tend()
         if self.ready != self.told_ready:
             self.told_ready = self.ready
             self.ctx.log.info("ready" if self.ready else "not ready")
--- /dev/null
+++ b/src/cinderstair/booth/place_teller.py
@@ -0,0 +1,34 @@
+"""Says where this booth is, until the table of places says it as well."""
+
+from ..pitch.context import Context
+from ..pitch.desks import PLACE
+from ..pitch.packer import Packer
+from ..steward.booth_places import BoothPlace
+from .relayed_view import RelayedView
+
+TELL_EVERY_US = 2_000_000
+TELL_WAIT_US = 500_000
+
+
+class PlaceTeller:
+    """Costs a record every 2 s while the table is wrong, and nothing after."""
+
+    def __init__(self, *, ctx: Context, view: RelayedView, place: BoothPlace) -> None:
+        self.ctx = ctx
+        self.view = view
+        self.place = place
+        # why: booths that begin together must not all tell in the same moment
+        self.tell_from_us = ctx.nowUs() + ctx.luck.randrange(TELL_EVERY_US // 4)
+
+    def tend(self) -> None:
+        now_us = self.ctx.nowUs()
+        if now_us < self.tell_from_us or not self.view.asked or self.view.places.get(self.ctx.name) == self.place:
+            return
+        self.tell_from_us = now_us + TELL_EVERY_US
+        self.ctx.spawn(work=self._tell(), name="place.tell")
+
+    async def _tell(self) -> None:
+        packer = Packer().u8(value=PLACE).text(value=self.ctx.name)
+        body = packer.text(value=self.place.site).text(value=self.place.records).bytes()
+        self.ctx.counters.add(name="places.told")
+        await self.ctx.net.ask(address=self.view.asked, body=body, waitUs=TELL_WAIT_US)
--- a/src/cinderstair/booth/relayed_view.py
+++ b/src/cinderstair/booth/relayed_view.py
@@ -20,6 +20,7 @@
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
 from ..pitch.packer import Packer
+from ..steward.booth_places import PLACES_KEY, BoothPlace, read_booth_places
 from ..steward.service_lead import PREFIX, LeadState, ServiceLead, read_service_lead
 from ..steward.shard_state import SHARDS_KEY, ShardPhase, ShardState, Vote, read_shard_state
 from ..steward.slots import SLOTS_KEY, Slots, readSlots
@@ -64,6 +65,7 @@
         self.ballots: dict[str, Ballot] = {}
         self.plan: ServicePlan | None = None
         self.slots = Slots()
+        self.places: dict[str, BoothPlace] = {}
         self.shards = ShardState()
         self.vote: Callable[[], tuple[int, Vote]] = lambda: (0, Vote.silent)
         self.leads: dict[str, ServiceLead] = {}
@@ -240,6 +242,8 @@
                 self.ctx.log.info("configuration %d in force", plan.version)
         elif key == SLOTS_KEY:
             self.slots = readSlots(data=value)
+        elif key == PLACES_KEY:
+            self.places = read_booth_places(data=value).places
         elif key == SHARDS_KEY:
             self.shards = read_shard_state(data=value)
         elif key.startswith(PREFIX):
--- a/src/cinderstair/crier/records.feature
+++ b/src/cinderstair/crier/records.feature
@@ -15,6 +15,7 @@
       | relay questions |
       | relay answers   |
       | slots           |
+      | places          |
 
   Scenario: A plan's version and its short form
     Given 50 service plans from a seed
--- a/src/cinderstair/guildhall/booth_census.py
+++ b/src/cinderstair/guildhall/booth_census.py
@@ -1,4 +1,4 @@
-"""Which booths are there, when each was last seen by any guildhall, and what it says of the next shard map."""
+"""Which booths are there and where, when any guildhall last saw each, and how it votes on the next shard map."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,9 +6,10 @@
 
 from ..pitch.context import Context
 from ..pitch.desk import Desk
-from ..pitch.desks import BOOTHS
+from ..pitch.desks import BOOTHS, PLACE, PLACES
 from ..pitch.packer import Packer
 from ..pitch.unpacker import Unpacker
+from ..steward.booth_places import BoothPlace
 from ..steward.shard_state import Vote
 from .relay import Relay
 
@@ -33,8 +34,18 @@
         self.relay = relay
         self.neighbours = neighbours
         self.booths: dict[str, Seen] = {}
-        self.asked_us = -WITHIN_US
+        self.places: dict[str, tuple[int, BoothPlace]] = {}
+        self.asked_us = self.asked_places_us = -WITHIN_US
         desk.open(kind=BOOTHS, answer=self._asked)
+        desk.open(kind=PLACE, answer=self._told)
+        desk.open(kind=PLACES, answer=self._places_asked)
+
+    async def _told(self, unpacker: Unpacker) -> bytes:
+        """A booth says where it is; it does so until the table says it as well."""
+        name, place = unpacker.text(), BoothPlace(site=unpacker.text(), records=unpacker.text())
+        unpacker.done()
+        self.places[name] = (self.ctx.nowUs(), place)
+        return b"\0"
 
     async def _asked(self, unpacker: Unpacker) -> bytes:
         unpacker.done()
@@ -44,6 +55,20 @@
 
         return Packer().many(values=self.relay.seen(within_us=WITHIN_US), each=write).bytes()
 
+    async def _places_asked(self, unpacker: Unpacker) -> bytes:
+        unpacker.done()
+        now_us = self.ctx.nowUs()
+        self._forget(now_us=now_us)
+
+        def write(packer: Packer, entry: tuple[str, tuple[int, BoothPlace]]) -> None:
+            name, (at_us, place) = entry
+            packer.text(value=name).u64(value=now_us - at_us).text(value=place.site).text(value=place.records)
+
+        return Packer().many(values=self.places.items(), each=write).bytes()
+
+    def _forget(self, *, now_us: int) -> None:
+        self.places = {name: entry for name, entry in self.places.items() if now_us - entry[0] <= WITHIN_US}
+
     def _take(self, *, name: str, seen: Seen) -> None:
         known = self.booths.get(name)
         if known is None or seen.at_us > known.at_us:
@@ -74,3 +99,30 @@
             for name, age_us, version, vote in entries:
                 # why: the answer may have lain anywhere since the asking, so its age counts from there
                 self._take(name=name, seen=Seen(at_us=now_us - age_us, version=version, vote=vote))
+
+    async def gather_places(self, *, every_us: int) -> dict[str, BoothPlace]:
+        """Where booths said lately that they are; the other guildhalls are asked no more often than given."""
+        now_us = self.ctx.nowUs()
+        if now_us - self.asked_places_us >= every_us:
+            self.asked_places_us = now_us
+            body = Packer().u8(value=PLACES).bytes()
+            asks = [self.ctx.parley.ask(address=a, body=body, waitUs=ASK_WAIT_US) for a in self.neighbours()]
+            for result in await asyncio.gather(*asks):
+                if result.is_ok():
+                    self._take_places(data=result.ok, now_us=now_us)
+        self._forget(now_us=now_us)
+        return {name: place for name, (_, place) in self.places.items()}
+
+    def _take_places(self, *, data: bytes, now_us: int) -> None:
+        try:
+            told = Unpacker(data=data).many(each=_read_place)
+        except ValueError:
+            self.ctx.counters.add(name="records.malformed")
+            return
+        for name, age_us, place in told:
+            if name not in self.places or now_us - age_us > self.places[name][0]:
+                self.places[name] = (now_us - age_us, place)
+
+
+def _read_place(unpacker: Unpacker) -> tuple[str, int, BoothPlace]:
+    return unpacker.text(), unpacker.u64(), BoothPlace(site=unpacker.text(), records=unpacker.text())
--- a/src/cinderstair/guildhall/slot_keeper.feature
+++ b/src/cinderstair/guildhall/slot_keeper.feature
@@ -46,3 +46,34 @@
   Scenario: A keeper tells its neighbours whom it sees, and how they vote
     Given 1 guildhalls that keep slots
     Then a keeper that is asked tells how long ago it saw each booth
+
+  Scenario: Where a booth is stands in a table beside the ids, whichever guildhall it told
+    Given 2 guildhalls that keep slots
+    And "b1, b2" ask core-1
+    And "b1" tells core-1 that it is in "north" at "10.0.0.1:5"
+    And "b2" tells core-2 that it is in "south" at "10.0.0.2:5"
+    When 8 s pass at the keepers
+    Then the places are "b1 north 10.0.0.1:5, b2 south 10.0.0.2:5"
+    When "b1" tells core-2 that it is in "north" at "10.0.0.9:5"
+    And 8 s pass at the keepers
+    Then the places are "b1 north 10.0.0.9:5, b2 south 10.0.0.2:5"
+
+  Scenario: A place is written once, and stays while its booth has an id
+    Given 2 guildhalls that keep slots
+    And "b1, b2" ask core-1
+    And "b1" tells core-1 that it is in "north" at "10.0.0.1:5"
+    When 20 s pass at the keepers
+    Then the places are "b1 north 10.0.0.1:5"
+    And places were written 1 times
+    When "b1" are silent from now on
+    And 34 s pass at the keepers
+    And "b2" tells core-1 that it is in "south" at "10.0.0.2:5"
+    And 8 s pass at the keepers
+    Then the places are "b2 south 10.0.0.2:5"
+
+  Scenario: Who told of no place, or has no id, is in no table of places
+    Given 1 guildhalls that keep slots
+    And "b1" ask core-1
+    And "b7" tells core-1 that it is in "north" at "10.0.0.7:5"
+    When 8 s pass at the keepers
+    Then the places are "none"
--- a/src/cinderstair/guildhall/slot_keeper.py
+++ b/src/cinderstair/guildhall/slot_keeper.py
@@ -1,4 +1,4 @@
-"""The duty of dealing dense, stable ids to booths, and of freeing those of booths that are gone for good."""
+"""The duty of dealing dense, stable ids to booths, of freeing those of booths that are gone, and of their places."""
 
 from expression import Error, Ok, Result
 
@@ -6,6 +6,7 @@
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
 from ..pitch.ownermixin import OwnerMixin
+from ..steward.booth_places import PLACES_KEY, BoothPlace, BoothPlaces, read_booth_places
 from ..steward.slots import SLOTS_KEY, Slots, readSlots
 from ..vault.lease import Lease
 from ..vault.register import Register
@@ -14,6 +15,7 @@
 
 TICK_US = 500_000
 ASK_EVERY_US = 2_000_000
+SETTLED_EVERY_US = 6_000_000
 GRACE_US = 30_000_000
 SLOT_DUTY = "slots"
 
@@ -55,6 +57,28 @@
         gone = [name for name in sorted(named) if now_us - max(seen_us.get(name, 0), self.held_since_us) > GRACE_US]
         if fresh or gone:
             await self._change(fresh=fresh, gone=gone)
+        await self._keep_places()
+
+    async def _keep_places(self) -> None:
+        """One write for all whose place is another than the table says; a booth without an id has none."""
+        slots = self.view.known.get(SLOTS_KEY)
+        named = frozenset() if slots is None else frozenset(name for _, name in readSlots(data=slots.value).names)
+        known = self.view.known.get(PLACES_KEY)
+        data = b"" if known is None else known.value
+        # why: once all are in the table nobody tells anything, and only who comes anew has to be asked about
+        every_us = ASK_EVERY_US if named - set(read_places(data=data)) else SETTLED_EVERY_US
+        found = await self.census.gather_places(every_us=every_us)
+        told = {name: place for name, place in found.items() if name in named}
+
+        def wanted(data: bytes) -> dict[str, BoothPlace]:
+            return {name: place for name, place in read_places(data=data).items() if name in named} | told
+
+        if wanted(data) == read_places(data=data):
+            return
+        result = await self.register.change(
+            key=PLACES_KEY, decide=lambda data: Ok(BoothPlaces(places=wanted(data)).bytes())
+        )
+        self.view.takeOwn(key=PLACES_KEY, result=result)
 
     async def _change(self, *, fresh: list[str], gone: list[str]) -> None:
         def decide(data: bytes) -> Result[bytes, Fault]:
@@ -71,3 +95,7 @@
         self.view.takeOwn(key=SLOTS_KEY, result=result)
         if result.is_ok():
             self.ctx.log.info("slots dealt to %s, freed of %s", fresh, gone)
+
+
+def read_places(*, data: bytes) -> dict[str, BoothPlace]:
+    return dict(read_booth_places(data=data).places) if data else {}
--- a/steps/guildhallsteps.py
+++ b/steps/guildhallsteps.py
@@ -20,13 +20,14 @@
 from cinderstair.guildhall.slot_keeper import SlotKeeper
 from cinderstair.pitch.context import Context
 from cinderstair.pitch.desk import Desk
-from cinderstair.pitch.desks import BOOTHS, RELAY
+from cinderstair.pitch.desks import BOOTHS, PLACE, RELAY
 from cinderstair.pitch.fault import Fault
 from cinderstair.pitch.kind import Kind
 from cinderstair.pitch.packer import Packer
 from cinderstair.pitch.position import Position
 from cinderstair.pitch.unpacker import Unpacker
 from cinderstair.steward.backend_control import BackendState
+from cinderstair.steward.booth_places import PLACES_KEY, read_booth_places
 from cinderstair.steward.promotion_duty import PromotionDuty
 from cinderstair.steward.service_lead import LeadState, ServiceLead, read_service_lead, service_lead_key
 from cinderstair.steward.shard_state import Vote
@@ -882,6 +883,27 @@
     assert text == words, text
 
 
+@given('"{booth}" tells {where} that it is in "{site}" at "{address}"')
+@when('"{booth}" tells {where} that it is in "{site}" at "{address}"')
+def when_tells_place(context: Any, booth: str, where: str, site: str, address: str) -> None:
+    body = Packer().u8(value=PLACE).text(value=booth).text(value=site).text(value=address).bytes()
+    context.stage.run(work=context.halls[int(where.removeprefix("core-")) - 1].desk.answer(body))
+
+
+@then('the places are "{words}"')
+def then_places(context: Any, words: str) -> None:
+    found = context.store.values.get(PLACES_KEY)
+    places = {} if found is None else read_booth_places(data=found.value).places
+    text = ", ".join(f"{name} {place.site} {place.records}" for name, place in sorted(places.items())) or "none"
+    assert text == words, text
+
+
+@then("places were written {count:d} times")
+def then_place_writes(context: Any, count: int) -> None:
+    writes = [key for _, key, _ in context.store.writes if key == PLACES_KEY]
+    assert len(writes) == count, len(writes)
+
+
 @then("they were written {count:d} times")
 def then_slot_writes(context: Any, count: int) -> None:
     writes = [key for _, key, _ in context.store.writes if key == SLOTS_KEY]
--- a/steps/recordsteps.py
+++ b/steps/recordsteps.py
@@ -27,6 +27,7 @@
 from cinderstair.pitch.packer import Packer
 from cinderstair.pitch.position import Position
 from cinderstair.pitch.unpacker import Unpacker
+from cinderstair.steward.booth_places import BoothPlace, BoothPlaces, read_booth_places
 from cinderstair.steward.service_lead import LeadState, ServiceLead, read_service_lead
 from cinderstair.steward.slots import Slots, readSlots
 from cinderstair.vault.ballot import Ballot
@@ -152,6 +153,12 @@
     return Slots(names=tuple((n, text(luck)) for n in range(luck.randrange(5))))
 
 
+def places(luck: random.Random) -> BoothPlaces:
+    return BoothPlaces(
+        places={text(luck): BoothPlace(site=text(luck), records=text(luck)) for _ in range(luck.randrange(5))}
+    )
+
+
 def packed(record: Any) -> bytes:
     packer = Packer()
     record.write(packer=packer)
@@ -172,6 +179,7 @@
     "relay questions": (question, packed, lambda data: read_relay_question(unpacker=Unpacker(data=data))),
     "relay answers": (answer, lambda r: r.bytes(), lambda data: read_relay_answer(data=data)),
     "slots": (slots, lambda r: r.bytes(), lambda data: readSlots(data=data)),
+    "places": (places, lambda r: r.bytes(), lambda data: read_booth_places(data=data)),
 }
 
 
