Where links are few each booth keeps one to one copy; links to others are lent

Cause: every link was lent, opened on demand and closed 0.2 to 0.4 s later, to copies that could bear a lasting one. Change: each booth reckons from ids and places which copy is its own, nearest first and evenly, no copy more than its cap less the control links; that link is kept. A booth without an id keeps none. By the id and not by what others were dealt, so that a booth that goes changes at most 2 others of 80.

--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -29,11 +29,14 @@
         dialer: Dialer,
         distance: Callable[[str], int],
         records: str = "",
+        region: Callable[[str], str] = lambda site: site,
     ) -> None:
         self.ctx = ctx
         self.view = RelayedView(ctx=ctx, site=site, seeds=seeds, distance=distance)
         self.sessions: set[Session] = set()
-        self.router = Router(ctx=ctx, view=self.view, dialer=dialer, distance=distance, busy=self._busy)
+        self.router = Router(
+            ctx=ctx, view=self.view, dialer=dialer, distance=distance, busy=self._busy, region=region
+        )
         self.place = PlaceTeller(ctx=ctx, view=self.view, place=BoothPlace(site=site, records=records))
         self.draining = False
         self.told_ready = False
--- /dev/null
+++ b/src/cinderstair/booth/forward_desk.py
@@ -0,0 +1,302 @@
+"""Sends other booths' statements over this booth's links."""
+
+import asyncio
+from collections import Counter
+
+from expression import Error, Ok, Result
+
+from ..pitch.context import Context
+from ..pitch.desk import Desk
+from ..pitch.desks import FORWARD
+from ..pitch.fault import Fault
+from ..pitch.kind import Kind
+from ..pitch.unpacker import Unpacker
+from .forward_record import ForwardAnswer, ForwardQuestion, ForwardStep, Outcome, read_forward_question
+from .levelling import level
+from .link import Link
+from .link_pool import LinkPool
+from .reply import Reply, State, refusal
+from .router import Router
+from .statement import Verb
+
+UNKEPT_US = 2_500_000
+SINGLES = (ForwardStep.single, ForwardStep.position)
+GONE = Reply(rows=[], fault=Kind.transactionLost)
+
+
+class Channel:
+    """Another booth's transaction on a link of ours. Without a link while it is being begun."""
+
+    def __init__(self, *, question: ForwardQuestion, now_us: int) -> None:
+        self.service = question.service
+        self.database = question.database
+        self.read_only = question.read_only
+        self.opened_us = self.touched_us = now_us
+        self.link: Link | None = None
+        self.pool: LinkPool | None = None
+        self.busy = True
+        self.closed = False
+
+
+class ForwardDesk:
+    """Owns the channels. What may be sent is decided here, by this booth's own view, at the moment of sending."""
+
+    def __init__(self, *, ctx: Context, router: Router, desk: Desk) -> None:
+        self.ctx = ctx
+        self.router = router
+        self.life = ctx.luck.getrandbits(62) | 1
+        self.channels: dict[tuple[str, int], Channel] = {}
+        self.writes: Counter[str] = Counter()
+        self.stopping = False
+        desk.open(kind=FORWARD, answer=self.answer)
+
+    # -- what the booth asks --
+
+    def writing(self, *, databases: frozenset[str]) -> bool:
+        """Whether anything may still be written here for others at these databases' old places."""
+        held = any(not each.read_only and each.database in databases for each in self.channels.values())
+        return held or any(self.writes[name] for name in databases)
+
+    @property
+    def open(self) -> int:
+        return len(self.channels)
+
+    def stop(self) -> None:
+        """Takes nothing new; what runs may end."""
+        self.stopping = True
+
+    def end(self) -> None:
+        """Rolls back what rests in a transaction."""
+        for key, channel in list(self.channels.items()):
+            if not channel.busy:
+                self._close(key=key, channel=channel)
+
+    def tend(self) -> None:
+        """A transaction whose asker says nothing more of it is rolled back."""
+        now_us = self.ctx.nowUs()
+        for key, channel in list(self.channels.items()):
+            if not channel.busy and now_us - channel.touched_us > UNKEPT_US:
+                self.ctx.counters.add(name="forward.unkept")
+                self._close(key=key, channel=channel)
+
+    # -- answers --
+
+    async def answer(self, unpacker: Unpacker) -> bytes:
+        question = read_forward_question(unpacker=unpacker)
+        outcome, reply, unknown = Outcome.answered, Reply(rows=[]), ()  # type: Outcome, Reply, tuple[int, ...]
+        if question.step == ForwardStep.hello:
+            pass
+        elif question.life != self.life:
+            # why: its moments are by the clock of an earlier life of this daemon
+            outcome, reply = self._refused(fault=Fault(kind=Kind.noBackend, why="begun anew"))
+        elif question.step == ForwardStep.keep:
+            unknown = self._keep(question=question)
+        elif question.step in SINGLES:
+            outcome, reply = await self._single(question=question)
+        elif question.step == ForwardStep.begin:
+            outcome, reply = await self._begin(question=question)
+        else:
+            outcome, reply = await self._next(question=question)
+        self.ctx.counters.add(name=f"forward.{outcome.name}")
+        return ForwardAnswer(
+            life=self.life, now_us=self.ctx.nowUs(), outcome=outcome, reply=reply, unknown=unknown
+        ).bytes()
+
+    def _refused(self, *, fault: Fault) -> tuple[Outcome, Reply]:
+        """Nothing was sent, so it may be offered elsewhere."""
+        reply = refusal(kind=fault.kind, come_back_us=int(fault.details.get("left_us", 0)))
+        reply.not_run = True
+        return Outcome.not_sent, reply
+
+    def _keep(self, *, question: ForwardQuestion) -> tuple[int, ...]:
+        unknown = []
+        for number in question.channels:
+            channel = self.channels.get((question.asker, number))
+            if channel is None:
+                unknown.append(number)
+            else:
+                channel.touched_us = self.ctx.nowUs()
+        return tuple(unknown)
+
+    def _writes(self, *, question: ForwardQuestion) -> bool:
+        return question.step == ForwardStep.single and question.statement.writes
+
+    def may_send(self, *, question: ForwardQuestion) -> Result[LinkPool, Fault]:
+        """The pool over which this may be sent now. Asked when it comes, and again when it leaves."""
+        # why: one that stood still, or lay in a wire, must not run when its asker has long said what became of it
+        if self.ctx.nowUs() >= question.until_us:
+            return Error(Fault(kind=Kind.timeLeftSpent, why="its time is up"))
+        if self.stopping:
+            return Error(Fault(kind=Kind.draining, why="this booth stops"))
+        pool = self.router.pools.get(question.backend)
+        if pool is None or pool.closed or not pool.limit:
+            return Error(Fault(kind=Kind.noBackend, why=f"no links to {question.backend} here"))
+        if question.step == ForwardStep.position:
+            return self._leads(question=question, pool=pool)
+        if question.at_least is not None:
+            return Ok(pool)
+        route = self.router.route(database=question.database)
+        if route is None or route.service != question.service:
+            return Error(Fault(kind=Kind.moving, why=f"{question.database} is elsewhere by what is known here"))
+        moving = self.router.shards.fault(database=question.database)
+        if moving is not None:
+            return Error(moving)
+        return self._leads(question=question, pool=pool)
+
+    def _leads(self, *, question: ForwardQuestion, pool: LinkPool) -> Result[LinkPool, Fault]:
+        led = self.router.may_lead(service=question.service)
+        if led.is_ok() and led.ok is not pool:
+            return Error(Fault(kind=Kind.noLead, why=f"{question.backend} does not lead by what is known here"))
+        return led
+
+    async def _take(self, *, question: ForwardQuestion) -> Result[tuple[LinkPool, Link], Fault]:
+        may = self.may_send(question=question)
+        if may.is_error():
+            return Error(may.error)
+        pool = may.ok
+        taken = await pool.acquire_own(values=question.values, rank=question.rank, until_us=question.until_us)
+        if taken.is_error():
+            return Error(taken.error)
+        # why: a link may have been waited for, and everything may be otherwise by now
+        may = self.may_send(question=question)
+        if may.is_error():
+            pool.release(link=taken.ok)
+            return Error(may.error)
+        return Ok((pool, taken.ok))
+
+    async def _wait(self, *, future: asyncio.Future[Reply], until_us: int) -> Reply | None:
+        """ConnectionError: the link is lost."""
+        wait_us = max(0, until_us - self.ctx.nowUs())
+        done, _ = await asyncio.wait([future], timeout=wait_us / 1_000_000)
+        return future.result() if done else None
+
+    def _heard(self, *, question: ForwardQuestion, pool: LinkPool, asked_us: int, leads: bool, reply: Reply) -> None:
+        if leads:
+            self.router.heard(pool=pool, service=question.service, asked_us=asked_us, reply=reply)
+        else:
+            pool.heard()
+
+    def _send(self, *, question: ForwardQuestion, link: Link) -> asyncio.Future[Reply]:
+        if question.step == ForwardStep.position:
+            return link.ask_position()
+        level(link=link, values=question.values)
+        statement, alias = question.statement, b""
+        if statement.verb == Verb.execute:
+            alias = self.router.alias(shape=question.shape, writes=statement.writes)
+            if link.prepared.get(alias) != (question.shape, statement.writes):
+                link.prepare(alias=alias, shape=question.shape, writes=statement.writes)
+        return link.send(statement=statement, at_least=question.at_least, alias=alias)
+
+    async def _single(self, *, question: ForwardQuestion) -> tuple[Outcome, Reply]:
+        writes = self._writes(question=question)
+        self.writes[question.database] += writes
+        try:
+            return await self._single_now(question=question)
+        finally:
+            self.writes[question.database] -= writes
+
+    async def _single_now(self, *, question: ForwardQuestion) -> tuple[Outcome, Reply]:
+        taken = await self._take(question=question)
+        if taken.is_error():
+            return self._refused(fault=taken.error)
+        pool, link = taken.ok
+        led = self.router.may_lead(service=question.service)
+        leads, asked_us = led.is_ok() and led.ok is pool, self.ctx.nowUs()
+        future = self._send(question=question, link=link)
+        try:
+            reply = await self._wait(future=future, until_us=question.until_us)
+        except ConnectionError:
+            pool.release(link=link)
+            return Outcome.lost, GONE
+        if reply is None:
+            pool.release_answered(link=link, answer=future)
+            return Outcome.lost, GONE
+        pool.release(link=link)
+        self._heard(question=question, pool=pool, asked_us=asked_us, leads=leads, reply=reply)
+        return Outcome.answered, reply
+
+    # -- transactions --
+
+    def _close(self, *, key: tuple[str, int], channel: Channel, keep: bool = False) -> None:
+        channel.closed = True
+        self.channels.pop(key, None)
+        link, pool = channel.link, channel.pool
+        channel.link = channel.pool = None
+        if link is not None and pool is not None:
+            pool.release(link=link, keep=keep)
+
+    async def _begin(self, *, question: ForwardQuestion) -> tuple[Outcome, Reply]:
+        key = (question.asker, question.channel)
+        if key in self.channels:
+            return Outcome.lost, GONE
+        channel = self.channels[key] = Channel(question=question, now_us=self.ctx.nowUs())
+        begun = False
+        try:
+            taken = await self._take(question=question)
+            if taken.is_error():
+                return self._refused(fault=taken.error)
+            channel.pool, channel.link = taken.ok
+            if channel.closed:
+                return Outcome.lost, GONE
+            pool, link = taken.ok
+            led = self.router.may_lead(service=question.service)
+            leads, asked_us = led.is_ok() and led.ok is pool, self.ctx.nowUs()
+            level(link=link, values=question.values)
+            future = link.begin(read_only=question.read_only, at_least=question.at_least)
+            reply = await self._wait(future=future, until_us=question.until_us)
+            if reply is None or channel.closed:
+                return Outcome.lost, GONE
+            self._heard(question=question, pool=pool, asked_us=asked_us, leads=leads, reply=reply)
+            begun = reply.fault is None and reply.state == State.open
+            return Outcome.answered, reply
+        except ConnectionError:
+            return Outcome.lost, GONE
+        finally:
+            channel.busy, channel.touched_us = False, self.ctx.nowUs()
+            if not begun:
+                self._close(key=key, channel=channel)
+
+    async def _next(self, *, question: ForwardQuestion) -> tuple[Outcome, Reply]:
+        """What belongs to a transaction. One that is not there any more was rolled back."""
+        key = (question.asker, question.channel)
+        channel = self.channels.get(key)
+        if channel is None:
+            return Outcome.lost, GONE
+        if question.step == ForwardStep.close:
+            self._close(key=key, channel=channel)
+            return Outcome.answered, Reply(rows=[])
+        link, pool = channel.link, channel.pool
+        if channel.busy or link is None or pool is None or not self._may_go_on(question=question, channel=channel):
+            self._close(key=key, channel=channel)
+            return Outcome.lost, GONE
+        channel.busy = True
+        ended = keep = False
+        led = self.router.may_lead(service=channel.service)
+        leads, asked_us = led.is_ok() and led.ok is pool, self.ctx.nowUs()
+        try:
+            if question.step == ForwardStep.rollback:
+                future = link.rollback()
+            else:
+                future = self._send(question=question, link=link)
+            reply = await self._wait(future=future, until_us=question.until_us)
+            if reply is None or channel.closed:
+                ended = True
+                return Outcome.lost, GONE
+            self._heard(question=question, pool=pool, asked_us=asked_us, leads=leads, reply=reply)
+            ended = keep = reply.state == State.idle
+            return Outcome.answered, reply
+        except ConnectionError:
+            ended = True
+            return Outcome.lost, GONE
+        finally:
+            channel.busy, channel.touched_us = False, self.ctx.nowUs()
+            if ended:
+                self._close(key=key, channel=channel, keep=keep)
+
+    def _may_go_on(self, *, question: ForwardQuestion, channel: Channel) -> bool:
+        """Whether a transaction's statement may still be sent: in its time, and while its place takes it."""
+        if self.ctx.nowUs() >= question.until_us or channel.link is None or not channel.link.open:
+            return False
+        if channel.read_only or question.step == ForwardStep.rollback:
+            return True
+        return self.router.shards.may_end(database=channel.database, since_us=channel.opened_us)
--- /dev/null
+++ b/src/cinderstair/booth/forward_record.py
@@ -0,0 +1,157 @@
+"""What a booth without links to a backend asks of one that has some, and what it is told."""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from ..pitch.kind import Kind
+from ..pitch.packer import Packer
+from ..pitch.position import Position
+from ..pitch.unpacker import Unpacker
+from .reply import Reply, State
+from .statement import Statement, Verb
+
+NO_STATEMENT = Statement(ident=b"-", verb=Verb.read)
+
+
+class ForwardStep(IntEnum):
+    """hello: only the clock is asked for. single: one statement by itself. begin, next, rollback, close: a
+    transaction's. position: the backend's. keep: these transactions are still wanted."""
+
+    hello = 0
+    single = 1
+    begin = 2
+    next = 3
+    rollback = 4
+    close = 5
+    position = 6
+    keep = 7
+
+
+class Outcome(IntEnum):
+    """answered: the backend's own answer. not_sent: nothing was sent to it. lost: nobody knows."""
+
+    answered = 0
+    not_sent = 1
+    lost = 2
+
+
+@dataclass(frozen=True, kw_only=True)
+class ForwardQuestion:
+    """`life` is the answerer's, and `until_us` a moment by the answerer's clock; from then on nothing is sent.
+
+    `channel` numbers the asker's transactions. `values` are the session's; `shape` is what an execute rests on.
+    """
+
+    asker: str
+    step: ForwardStep
+    life: int = 0
+    until_us: int = 0
+    channel: int = 0
+    backend: str = ""
+    service: str = ""
+    database: str = ""
+    rank: int = 0
+    read_only: bool = False
+    at_least: Position | None = None
+    values: dict[bytes, bytes] = field(default_factory=dict)
+    statement: Statement = NO_STATEMENT
+    shape: bytes = b""
+    channels: tuple[int, ...] = ()
+
+    def bytes(self) -> bytes:
+        packer = Packer().text(value=self.asker).u8(value=self.step).u64(value=self.life).u64(value=self.until_us)
+        packer.u64(value=self.channel).text(value=self.backend).text(value=self.service).text(value=self.database)
+        packer.u32(value=self.rank).u8(value=int(self.read_only))
+        _write_position(packer=packer, position=self.at_least)
+        packer.many(values=self.values.items(), each=lambda p, e: p.blob(value=e[0]).blob(value=e[1]))
+        statement = self.statement
+        packer.blob(value=statement.ident).u8(value=statement.verb).blob(value=statement.text)
+        packer.blob(value=statement.name).blob(value=statement.content).u8(value=int(statement.writes))
+        packer.blob(value=self.shape)
+        return packer.many(values=self.channels, each=lambda p, n: p.u64(value=n)).bytes()
+
+
+@dataclass(frozen=True, kw_only=True)
+class ForwardAnswer:
+    """`now_us` is the answerer's clock at some moment between the question and the answer.
+
+    `unknown` are the transactions asked about that are none here any more.
+    """
+
+    life: int
+    now_us: int
+    outcome: Outcome
+    reply: Reply
+    unknown: tuple[int, ...] = ()
+
+    def bytes(self) -> bytes:
+        packer = Packer().u64(value=self.life).u64(value=self.now_us).u8(value=self.outcome)
+        reply = self.reply
+        packer.many(values=reply.rows, each=lambda p, row: p.blob(value=row)).blob(value=reply.stamp)
+        packer.text(value="" if reply.fault is None else reply.fault.value).blob(value=reply.native)
+        packer.u8(value=int(reply.not_run)).u8(value=int(reply.retriable)).u8(value=reply.state)
+        _write_position(packer=packer, position=reply.position)
+        packer.u64(value=reply.come_back_us)
+        return packer.many(values=self.unknown, each=lambda p, n: p.u64(value=n)).bytes()
+
+
+def _write_position(*, packer: Packer, position: Position | None) -> None:
+    packer.u8(value=int(position is not None))
+    if position is not None:
+        packer.u64(value=position.term).u64(value=position.number)
+
+
+def _read_position(*, unpacker: Unpacker) -> Position | None:
+    return Position(unpacker.u64(), unpacker.u64()) if unpacker.u8() else None
+
+
+def read_forward_question(*, unpacker: Unpacker) -> ForwardQuestion:
+    """Raises ValueError where the bytes are none."""
+    question = ForwardQuestion(
+        asker=unpacker.text(),
+        step=ForwardStep(unpacker.u8()),
+        life=unpacker.u64(),
+        until_us=unpacker.u64(),
+        channel=unpacker.u64(),
+        backend=unpacker.text(),
+        service=unpacker.text(),
+        database=unpacker.text(),
+        rank=unpacker.u32(),
+        read_only=bool(unpacker.u8()),
+        at_least=_read_position(unpacker=unpacker),
+        values=dict(unpacker.many(each=lambda u: (u.blob(), u.blob()))),
+        statement=Statement(
+            ident=unpacker.blob(),
+            verb=Verb(unpacker.u8()),
+            text=unpacker.blob(),
+            name=unpacker.blob(),
+            content=unpacker.blob(),
+            writes=bool(unpacker.u8()),
+        ),
+        shape=unpacker.blob(),
+        channels=tuple(unpacker.many(each=lambda u: u.u64())),
+    )
+    unpacker.done()
+    return question
+
+
+def read_forward_answer(*, data: bytes) -> ForwardAnswer:
+    """Raises ValueError where the bytes are none."""
+    unpacker = Unpacker(data=data)
+    life, now_us, outcome = unpacker.u64(), unpacker.u64(), Outcome(unpacker.u8())
+    rows, stamp = unpacker.many(each=lambda u: u.blob()), unpacker.blob()
+    fault, native = unpacker.text(), unpacker.blob()
+    reply = Reply(
+        rows=rows,
+        stamp=stamp,
+        fault=Kind(fault) if fault else None,
+        native=native,
+        not_run=bool(unpacker.u8()),
+        retriable=bool(unpacker.u8()),
+        state=State(unpacker.u8()),
+        position=_read_position(unpacker=unpacker),
+        come_back_us=unpacker.u64(),
+    )
+    unknown = tuple(unpacker.many(each=lambda u: u.u64()))
+    unpacker.done()
+    return ForwardAnswer(life=life, now_us=now_us, outcome=outcome, reply=reply, unknown=unknown)
--- /dev/null
+++ b/src/cinderstair/booth/forwarded_link.py
@@ -0,0 +1,137 @@
+"""A link that stands in for one that another booth holds."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..pitch.kind import Kind
+from ..pitch.position import Position
+from .forward_record import ForwardQuestion, ForwardStep, Outcome
+from .reply import Reply, State
+from .statement import Statement, Verb
+
+if TYPE_CHECKING:
+    from .forwarder import Forwarder
+
+
+class ForwardedLink:
+    """The product's Link. Values and shapes travel with each statement; a transaction has a channel at the holder.
+
+    It serves one statement or one transaction, and is closed after it.
+    """
+
+    def __init__(self, *, forwarder: "Forwarder", address: str, base: ForwardQuestion, limit_us: int) -> None:
+        self.forwarder = forwarder
+        self.address = address
+        self.base = base
+        self.limit_us = limit_us
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: dict[bytes, tuple[bytes, bool]] = {}
+        self.on_lost: Callable[[], None] | None = None
+        self.open = True
+        self.state = State.idle
+        self.begun = False
+        self.owed: dict[asyncio.Future[Reply], int] = {}
+
+    @property
+    def waiting(self) -> int:
+        return len(self.owed)
+
+    @property
+    def owed_us(self) -> int:
+        return self.forwarder.ctx.nowUs() - min(self.owed.values()) if self.owed else 0
+
+    def set_value(self, *, name: bytes, value: bytes) -> None:
+        self.values[name] = value
+
+    def clear(self) -> None:
+        self.values, self.prepared = {}, {}
+
+    def prepare(self, *, alias: bytes, shape: bytes, writes: bool) -> None:
+        self.prepared[alias] = (shape, writes)
+
+    def send(
+        self, *, statement: Statement, at_least: Position | None = None, alias: bytes = b""
+    ) -> asyncio.Future[Reply]:
+        shape, writes = self.prepared.get(alias, (b"", False))
+        # why: whether it writes decides at the holder where it may go, so an execute carries it too
+        writes = writes if statement.verb == Verb.execute else statement.verb == Verb.write
+        question = replace(
+            self.base,
+            step=ForwardStep.next if self.begun else ForwardStep.single,
+            at_least=at_least,
+            values=dict(self.values),
+            statement=replace(statement, writes=writes),
+            shape=shape,
+        )
+        return self._ask(question=question)
+
+    def begin(self, *, read_only: bool, at_least: Position | None) -> asyncio.Future[Reply]:
+        self.begun = True
+        self.base = replace(self.base, read_only=read_only)
+        self.forwarder.channels[self.base.channel] = self
+        question = replace(self.base, step=ForwardStep.begin, at_least=at_least, values=dict(self.values))
+        return self._ask(question=question)
+
+    def rollback(self) -> asyncio.Future[Reply]:
+        return self._ask(question=replace(self.base, step=ForwardStep.rollback))
+
+    def ask_position(self) -> asyncio.Future[Reply]:
+        return self._ask(question=replace(self.base, step=ForwardStep.position))
+
+    def _ask(self, *, question: ForwardQuestion) -> asyncio.Future[Reply]:
+        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        if not self.open:
+            future.set_exception(ConnectionResetError("the link is lost"))
+            return future
+        ctx = self.forwarder.ctx
+        self.owed[future] = ctx.nowUs()
+        ctx.spawn(work=self._answer(question=question, future=future), name="forward")
+        return future
+
+    async def _answer(self, *, question: ForwardQuestion, future: asyncio.Future[Reply]) -> None:
+        result = await self.forwarder.ask(address=self.address, question=question, limit_us=self.limit_us)
+        self.owed.pop(future, None)
+        reply: Reply | None = None
+        if result.is_ok() and result.ok.outcome != Outcome.lost:
+            reply = result.ok.reply
+        elif result.is_error() and result.error.kind == Kind.wireUnsent:
+            reply = Reply(rows=[], fault=Kind.noBackend, not_run=True, state=self.state)
+        if reply is None or (self.begun and reply.not_run and result.is_error()):
+            self._fail(future=future)
+            return
+        self.state = reply.state
+        if self.state == State.idle:
+            self._ended()
+        if not future.done():
+            future.set_result(reply)
+
+    def _fail(self, *, future: asyncio.Future[Reply]) -> None:
+        self.open = False
+        self._ended()
+        if not future.done():
+            future.set_exception(ConnectionResetError("the link is lost"))
+            # why: some answers are awaited by nobody, and their loss is no error of its own
+            future.exception()
+
+    def _ended(self) -> None:
+        self.begun = False
+        self.forwarder.channels.pop(self.base.channel, None)
+
+    def lose(self) -> None:
+        """The holder knows nothing of it any more."""
+        self.open = False
+        self._ended()
+
+    def close(self) -> None:
+        """What is under way at the holder is broken off; a transaction that is open there is rolled back."""
+        if self.begun and self.open:
+            question = replace(self.base, step=ForwardStep.close)
+            ctx = self.forwarder.ctx
+            ctx.spawn(
+                work=self.forwarder.ask(address=self.address, question=question, limit_us=self.limit_us),
+                name="forward.close",
+            )
+        self.open = False
+        self._ended()
--- a/src/cinderstair/booth/link_pool.feature
+++ b/src/cinderstair/booth/link_pool.feature
@@ -240,3 +240,18 @@
     And another link of the backend is heard
     And 300 ms pass at the pool
     Then the backend was blamed 0 times
+
+  Scenario: Links that were kept and are lent from now on go soon, and are kept again where that is taken back
+    Given a pool of 2 links
+    When 2 ask for a link
+    And all links are given back
+    And 5000 ms pass at the pool
+    Then 2 links are open and 2 were dialled
+    When links are lent
+    And 300 ms pass at the pool
+    And links are kept
+    And 5000 ms pass at the pool
+    Then 2 links are open and 2 were dialled
+    When links are lent
+    And 450 ms pass at the pool
+    Then 0 links are open and 2 were dialled
--- a/src/cinderstair/booth/link_pool.py
+++ b/src/cinderstair/booth/link_pool.py
@@ -197,6 +197,17 @@
                 future.set_result(self._take(link=link))
                 return
         self.idle.append(link)
+        self._linger(link=link)
+
+    def lend(self, *, lent: bool) -> None:
+        """Whether links are kept only while they are used; those that were kept till now go soon."""
+        if lent == self.lent:
+            return
+        self.lent = lent
+        for link in self.idle:
+            self._linger(link=link)
+
+    def _linger(self, *, link: Link) -> None:
         if self.lent:
             scarce = self.ctx.nowUs() - self.full_us < SCARCE_US
             linger_us = SHORT_US if scarce else LONG_US
@@ -204,7 +215,7 @@
 
     def _give_back(self, link: Link, turn: int) -> None:
         # why: where there are fewer links than booths, one that nobody has used since must go to another booth
-        if turn == self.turn and any(each is link for each in self.idle):
+        if self.lent and turn == self.turn and any(each is link for each in self.idle):
             self.idle = [each for each in self.idle if each is not link]
             self.ctx.counters.add(name="links.given_back")
             link.close()
--- a/src/cinderstair/booth/router.feature
+++ b/src/cinderstair/booth/router.feature
@@ -163,6 +163,20 @@
     Given a booth, where "a" leads and "b" are copies, all at 3.5
     Then with 40 links and 6 booths, one more without a number takes no larger part than it will have
 
+  Scenario Outline: With fewer links than booths each keeps links to one copy, and no copy more than there are
+    Given a booth, where "a" leads and "b, c" are copies, all at 3.5
+    Then with <cap> links for each backend and <booths> booths each keeps links to <kept> copy, at most <most> to one
+
+    Examples: of 55 links 6 are for control
+      | cap | booths | kept | most |
+      | 55  | 80     | 1    | 45   |
+      | 46  | 80     | 1    | 40   |
+      | 16  | 12     | 1    | 6    |
+
+  Scenario: A booth without an id keeps no link where they are fewer than booths
+    Given a booth, where "a" leads and "b, c" are copies, all at 3.5
+    Then with 16 links for each backend and 12 booths one without an id keeps links to 0 copies
+
   Scenario: A copy that empties gets nothing new, and is open again when it says so
     Given a booth, where "a" leads and "b" are copies, all at 3.5
     When "b" says that it is emptying
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -15,8 +15,10 @@
 from ..pitch.kind import Kind
 from ..pitch.position import Position
 from ..stall.share import allotment, subset
+from ..steward.booth_places import PLACES_KEY
 from ..steward.service_lead import PREFIX, LeadState, ServiceLead
 from ..steward.slots import SLOTS_KEY
+from .dealing import Spot, dealt_copies
 from .freshness import Freshness
 from .link import Dialer
 from .link_pool import LinkPool
@@ -39,7 +41,7 @@
 SILENT_LEFT_US = 1_000_000
 MOST_ALIASES = 4_096
 TENDED_AT_ONCE = 50
-RECKONED = (PLAN_KEY, SLOTS_KEY, "backends")
+RECKONED = (PLAN_KEY, SLOTS_KEY, PLACES_KEY, "backends")
 
 
 class Router:
@@ -53,11 +55,13 @@
         dialer: Dialer,
         distance: Callable[[str], int],
         busy: Callable[[frozenset[str]], bool] = lambda databases: False,
+        region: Callable[[str], str] = lambda site: site,
     ) -> None:
         self.ctx = ctx
         self.view = view
         self.dialer = dialer
         self.distance = distance
+        self.region = region
         self.began_us = ctx.nowUs()
         self.pools: dict[str, LinkPool] = {}
         self.fresh: dict[str, Freshness] = {}
@@ -66,6 +70,7 @@
         self.aliases: dict[tuple[bytes, bool], int] = {}
         self.members: dict[str, list[str]] = {}
         self.parts: dict[int, int] = {}
+        self.deals: dict[tuple[tuple[Spot, ...], int], dict[int, int]] = {}
         self.turn = 0
         self.shards = Shards(ctx=ctx, view=view, busy=busy)
         view.troubled = self.troubled
@@ -122,7 +127,7 @@
         for name in [name for name in self.pools if name not in kept]:
             self.pools.pop(name).shut()
             self.leaving_us.pop(name, None)
-        self.members, self.parts = names, {}
+        self.members, self.parts, self.deals = names, {}, {}
         for service in names:
             self._reckon_service(service=service)
 
@@ -146,12 +151,32 @@
         self.shares[service] = subset(names=copies, stallId=booth_id or 0, subsetSize=SUBSET_SIZE)
         cap = max(1, plan.services[service].link_cap - CONTROL_LINKS)
         part = self._part(cap=cap)
+        scarce = cap < len(self.view.slots.names)
+        kept = self._kept_copy(copies=copies, room=cap, booth_id=booth_id) if scarce else ""
         for name in listed:
             self.pools[name].limit = max(1, part)
-            # why: with fewer links than booths each holds one only while it uses it
-            self.pools[name].lent = cap < len(self.view.slots.names)
+            # why: with fewer links than booths each keeps one to one copy, and to others only while it uses it
+            self.pools[name].lend(lent=scarce and name != kept)
             self._obey(name=name, leads=lead is not None and lead.primary == name)
 
+    def _spot(self, *, site: str) -> Spot:
+        return Spot(site, self.region(site))
+
+    def _kept_copy(self, *, copies: list[str], room: int, booth_id: int | None) -> str:
+        """The copy to which this booth keeps a lasting link; none without an id, or while a place is not known."""
+        if booth_id is None:
+            return ""
+        spots = tuple(self._spot(site=self.view.backends[name].announcement.site) for name in copies)
+        dealt = self.deals.get((spots, room))
+        if dealt is None:
+            # why: services whose copies stand alike are dealt alike, and reckoned once
+            places = self.view.places
+            sites = ((n, places[name].site if name in places else "") for n, name in self.view.slots.names)
+            booths = [(n, self._spot(site=site)) for n, site in sites]
+            dealt = self.deals[(spots, room)] = dealt_copies(booths=booths, copies=spots, room=room)
+        number = dealt.get(booth_id)
+        return "" if number is None else copies[number]
+
     def _obey(self, *, name: str, leads: bool) -> None:
         """A backend that empties gets nothing new; a primary serves on until its place is taken, or late."""
         pool = self.pools[name]
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/cap_checker.py
@@ -0,0 +1,29 @@
+"""What all booths together hold at a backend stays within its cap, less what is left for control."""
+
+from ...booth.router import CONTROL_LINKS
+from .checker import Checker
+
+
+class CapChecker(Checker):
+    """Judged where links are fewer than booths; else each booth's part is its own affair."""
+
+    rule = "CAP"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.opened = 0
+        self.full = 0
+        self.most = 0
+
+    def greeted(self, *, backend: str, held: int, max_links: int, scarce: bool) -> None:
+        """A booth's connection is taken in; `held` are those of booths that live, this one included."""
+        self.opened += 1
+        self.most = max(self.most, held)
+        if scarce:
+            self.judge(
+                fine=held <= max_links - CONTROL_LINKS,
+                what=f"booths hold {held} of {max_links} connections at {backend}",
+            )
+
+    def refused(self) -> None:
+        self.full += 1
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/forward_faults.py
@@ -0,0 +1,71 @@
+"""Faults switched into what is passed on between booths."""
+
+from typing import Any
+from unittest.mock import patch
+
+from expression import Error, Ok
+
+from ...booth import forward_desk, router
+from ...booth.forward_desk import ForwardDesk
+from ...booth.forward_record import Outcome
+from ...booth.forwarded_link import ForwardedLink
+from ...pitch.fault import Fault
+from ...pitch.kind import Kind
+
+Patches = list[Any]
+
+
+def forwards_unchecked() -> Patches:
+    """A holder sends whatever comes, however old, and whoever leads."""
+
+    def anyway(self: Any, *, question: Any) -> Any:
+        pool = self.router.pools.get(question.backend)
+        return Ok(pool) if pool is not None else Error(Fault(kind=Kind.noBackend, why="unknown"))
+
+    return [patch.object(ForwardDesk, "may_send", anyway)]
+
+
+def forwards_promised() -> Patches:
+    """A holder that does not know what became of a statement says that it was not sent."""
+    single = ForwardDesk._single_now
+
+    async def promised(self: Any, *, question: Any) -> Any:
+        outcome, reply = await single(self, question=question)
+        return self._refused(fault=Fault(kind=Kind.crowded, why="")) if outcome == Outcome.lost else (outcome, reply)
+
+    return [patch.object(ForwardDesk, "_single_now", promised)]
+
+
+def forwards_again() -> Patches:
+    """What was passed on and not answered is passed on once more, as if it had not been sent."""
+    ask = ForwardedLink._answer
+
+    async def again(self: Any, *, question: Any, future: Any) -> None:
+        result = await self.forwarder.ask(address=self.address, question=question, limit_us=self.limit_us // 4)
+        if result.is_error():
+            await ask(self, question=question, future=future)
+        else:
+            self.owed.pop(future, None)
+            self.state = result.ok.reply.state
+            if not future.done():
+                future.set_result(result.ok.reply)
+
+    return [patch.object(ForwardedLink, "_answer", again)]
+
+
+def forwards_any_values() -> Patches:
+    """A holder's link is not brought up to the values of the session that it serves."""
+    return [patch.object(forward_desk, "level", lambda *, link, values: None)]
+
+
+def forwards_unmoved() -> Patches:
+    """A holder votes that it is done with a database while it still writes there for others, and goes on with it."""
+    return [
+        patch.object(ForwardDesk, "writing", lambda self, *, databases: False),
+        patch.object(ForwardDesk, "_may_go_on", lambda self, *, question, channel: channel.link is not None),
+    ]
+
+
+def links_at_once() -> Patches:
+    """What is dealt anew is taken at once, while others may still hold it."""
+    return [patch.object(router, "RISE_US", 0)]
--- a/steps/boothsteps.py
+++ b/steps/boothsteps.py
@@ -20,6 +20,7 @@
     statement,
 )
 
+from cinderstair.booth.dealing import Spot, dealt_copies
 from cinderstair.booth.freshness import Freshness
 from cinderstair.booth.link_pool import LinkPool
 from cinderstair.booth.reply import State
@@ -113,6 +114,57 @@
     assert found is not None and found.number * 1_000 - since_us <= 2 * max(20, every_ms) * 1_000, found
 
 
+# -- dealing --
+
+
+def spots(*, text: str) -> list[Spot]:
+    return [Spot(each, each[:1]) for each in text.split() if each != "-"]
+
+
+@given('booths in "{text}"')
+def given_booth_spots(context: Any, text: str) -> None:
+    context.booth_spots = list(enumerate(spots(text=text)))
+
+
+@given("{count:d} booths in 6 zones of 3 regions")
+def given_many_spots(context: Any, count: int) -> None:
+    zones = ("n1", "s1", "w1", "n2", "s2", "w2")
+    context.booth_spots = [(n, Spot(zones[n % 6], zones[n % 6][:1])) for n in range(count)]
+
+
+@given('copies in "{text}", with room for {room:d} each')
+def given_copy_spots(context: Any, text: str, room: int) -> None:
+    context.copy_spots, context.room = spots(text=text), room
+    context.dealt = dealt_copies(booths=context.booth_spots, copies=context.copy_spots, room=room)
+
+
+@then('the copies are dealt "{text}"')
+def then_dealt(context: Any, text: str) -> None:
+    found = " ".join(str(context.dealt.get(n, "-")) for n, _ in context.booth_spots)
+    assert found == text, found
+
+
+@then("no booth is dealt more than one copy, and no copy more than its room")
+def then_dealt_room(context: Any) -> None:
+    for number in range(len(context.copy_spots)):
+        assert sum(n == number for n in context.dealt.values()) <= context.room
+
+
+@then("the copies are dealt to {first:d} and {second:d} booths")
+def then_dealt_counts(context: Any, first: int, second: int) -> None:
+    counts = [list(context.dealt.values()).count(n) for n in (0, 1)]
+    assert counts == [first, second], counts
+
+
+@then("with any one booth less at most {most:d} others are dealt another copy")
+def then_little_changes(context: Any, most: int) -> None:
+    for gone, _ in context.booth_spots:
+        left = [entry for entry in context.booth_spots if entry[0] != gone]
+        dealt = dealt_copies(booths=left, copies=context.copy_spots, room=context.room)
+        moved = [n for n, _ in left if dealt.get(n) != context.dealt.get(n)]
+        assert len(moved) <= most, (gone, moved)
+
+
 # -- the pool --
 
 
@@ -162,6 +214,11 @@
     context.waiters = []
 
 
+@when("links are {word}")
+def when_lent(context: Any, word: str) -> None:
+    context.stage.call(call=lambda: context.pool.lend(lent=word == "lent"))
+
+
 @given("links that are lent")
 def given_lent(context: Any) -> None:
     context.pool.lent = True
@@ -654,6 +711,7 @@
 
 def booth_limits(*, context: Any, cap: int, booths: int, dealt: int) -> list[dict[str, int]]:
     limits = []
+    context.routers = []
     for number in range(booths):
         name = f"booth-{number}"
         stage = context.stage
@@ -668,6 +726,8 @@
         told.tell(backends=tuple(announcement(name=each) for each in context.names))
         told.slots(names=tuple(f"booth-{each}" for each in range(dealt)))
         told.plan(plan=plan(link_cap=cap))
+        told.lead(primary=context.primary)
+        context.routers.append(router)
         limits.append({each: router.pools[each].limit for each in context.names})
     return limits
 
@@ -680,6 +740,33 @@
         assert limits[-1][name] <= later[-1][name], (name, limits[-1], later[-1])
 
 
+def kept_by_booth(*, context: Any, cap: int, booths: int, dealt: int) -> list[list[str]]:
+    booth_limits(context=context, cap=cap, booths=booths, dealt=dealt)
+    return [
+        [name for name, pool in router.pools.items() if not pool.lent and name != context.primary]
+        for router in context.routers
+    ]
+
+
+@then(
+    "with {cap:d} links for each backend and {booths:d} booths each keeps links to {kept:d} copy, "
+    "at most {most:d} to one"
+)
+def then_kept(context: Any, cap: int, booths: int, kept: int, most: int) -> None:
+    found = kept_by_booth(context=context, cap=cap, booths=booths, dealt=booths)
+    assert all(len(names) == kept for names in found), found
+    for name in context.names:
+        count = sum(name in names for names in found)
+        assert count <= most and count <= cap - CONTROL_LINKS, (name, count)
+    assert all(router.pools[context.primary].lent for router in context.routers)
+
+
+@then("with {cap:d} links for each backend and {booths:d} booths one without an id keeps links to {kept:d} copies")
+def then_newcomer_keeps(context: Any, cap: int, booths: int, kept: int) -> None:
+    found = kept_by_booth(context=context, cap=cap, booths=booths + 1, dealt=booths)
+    assert len(found[-1]) == kept, found[-1]
+
+
 @when("the client vanishes")
 def when_vanishes(context: Any) -> None:
     context.stage.call(call=context.session.close)
