Booths without links to a backend pass statements on to one that holds some

Change: which booth holds links to which backend is reckoned by all alike from ids and places: those of the backend's own region one each where all fit, a few in every other region, who leads left out, so that a promotion moves no link. Others pass statements on over the records between booths. A holder sends by its own view alone, at the moment of sending, and nothing once the asker's time is up by the holder's own clock. What it did not send is answered as not run; what is lost on the way is unknown. A holder that stops takes nothing new; a transaction that its asker no longer keeps is rolled back. What is dealt anew is taken 1.5 s later, so the cap isn't passed meanwhile. Ruled out: dealing by who leads (each promotion would move most links of the service), links dealt for a while. Trials: few_links_* on the simulated platform with 3 links for 6 booths, a checker of the cap, faults for the guards.

--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -5,8 +5,11 @@
 from expression import Ok, Result
 
 from ..pitch.context import Context
+from ..pitch.desk import Desk
 from ..pitch.fault import Fault
 from ..steward.booth_places import BoothPlace
+from .forward_desk import ForwardDesk
+from .forwarder import Forwarder
 from .link import Dialer
 from .place_teller import PlaceTeller
 from .relayed_view import RelayedView
@@ -38,10 +41,18 @@
             ctx=ctx, view=self.view, dialer=dialer, distance=distance, busy=self._busy, region=region
         )
         self.place = PlaceTeller(ctx=ctx, view=self.view, place=BoothPlace(site=site, records=records))
+        self.records = records
+        self.forwarder = Forwarder(ctx=ctx)
+        self.desk = Desk(ctx=ctx)
+        self.forwards = ForwardDesk(ctx=ctx, router=self.router, desk=self.desk)
+        if records:
+            self.router.forwarder = self.forwarder
         self.draining = False
         self.told_ready = False
 
     async def start(self) -> Result[None, Fault]:
+        if self.records:
+            await self.ctx.net.listen(address=self.records, answer=self.desk.answer)
         self.ctx.spawn(work=self._keep(), name="view.keep")
         self.ctx.ticks(everyUs=TEND_US).subscribe(lambda _: self._tend())
         return Ok(None)
@@ -52,7 +63,8 @@
 
     def _busy(self, databases: frozenset[str]) -> bool:
         """Whether anything may still be written at these databases' old places."""
-        return any(session.writing for session in self.sessions if session.database in databases)
+        own = any(session.writing for session in self.sessions if session.database in databases)
+        return own or self.forwards.writing(databases=databases)
 
     @property
     def ready(self) -> bool:
@@ -63,6 +75,8 @@
     def _tend(self) -> None:
         self.router.tend()
         self.place.tend()
+        self.forwarder.tend()
+        self.forwards.tend()
         if self.ready != self.told_ready:
             self.told_ready = self.ready
             self.ctx.log.info("ready" if self.ready else "not ready")
--- a/src/cinderstair/booth/dealing.feature
+++ b/src/cinderstair/booth/dealing.feature
@@ -22,3 +22,38 @@
     And copies in "n1 s1", with room for 49 each
     Then the copies are dealt to 40 and 40 booths
     And with any one booth less at most 2 others are dealt another copy
+
+  Scenario Outline: Where links are fewer than booths, those near a backend have their own, and elsewhere a few hold for all
+    Given 80 booths in 6 zones of 3 regions
+    And a backend "x" in "n1" that takes <room> links
+    Then all links dealt are <room>
+    And of the region "n" <home> booths hold links, of "s" <far> and of "w" <third>
+    And in each zone somebody holds links
+
+    Examples:
+      | room | home | far | third |
+      | 49   | 27   | 3   | 3     |
+      | 24   | 2    | 3   | 2     |
+
+  Scenario: Two backends at one place are held by others far from it, and no booth holds for much more than its part
+    Given 80 booths in 6 zones of 3 regions
+    And a backend "x" in "n1" that takes 49 links
+    Then over 30 backends at that place no booth of "s" holds for more than 9 and none for nobody
+
+  Scenario: A booth that comes or goes changes the links of few others
+    Given 80 booths in 6 zones of 3 regions
+    And a backend "x" in "n1" that takes 49 links
+    Then with any one booth less at most 5 others hold another number of links
+
+  Scenario Outline: Few booths, few links
+    Given booths in "<booths>"
+    And a backend "x" in "n1" that takes <room> links
+    Then the links are dealt "<dealt>"
+
+    Examples:
+      | booths            | room | dealt       |
+      | n1 s1             | 1    | 1 -         |
+      | n1 n2 s1          | 2    | 1 1 -       |
+      | n1 n1 n1          | 2    | 2 - -       |
+      | s1 s2             | 1    | 1 -         |
+      | n1 s1             | 0    | - -         |
--- a/src/cinderstair/booth/link_pool.py
+++ b/src/cinderstair/booth/link_pool.py
@@ -10,6 +10,7 @@
 from ..pitch.context import Context
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
+from .forwarder import Forwarder, Holder
 from .link import Dialer, Link
 from .reply import Reply
 
@@ -49,10 +50,14 @@
         self.hold_us = 20_000
         self.trouble = False
         self.silent = False
+        # why: where this booth may hold no link, those that hold some are asked to send in its stead
+        self.forwarder: Forwarder | None = None
+        self.holders: tuple[Holder, ...] = ()
+        self.forwarded: set[int] = set()
 
     @property
     def open(self) -> int:
-        return len(self.idle) + len(self.taken) + self.dialing
+        return len(self.idle) + len(self.taken) - len(self.forwarded) + self.dialing
 
     @property
     def load(self) -> int:
@@ -75,14 +80,20 @@
         """Blames a backend that owes answers for long and has given none to anybody meanwhile."""
         unheard_us = self.ctx.nowUs() - self.heard_us
         # why: a link may rest for long in a client's transaction; only what is owed counts
-        if unheard_us > SILENT_US and any(link.owed_us > SILENT_US for link, _ in self.taken.values()):
+        own = (link for link, _ in self.taken.values() if id(link) not in self.forwarded)
+        # why: a holder that is silent says nothing of the backend; its own links do
+        if unheard_us > SILENT_US and any(link.owed_us > SILENT_US for link in own):
             self.blame()
             self.silent = True
             # why: what lies idle is as dead as what is waited for, and the next to ask must not learn it by waiting
             idle, self.idle = self.idle, []
             for link in idle:
                 link.close()
-        if self.silent and not self.dialing and self.ctx.nowUs() >= self.dial_from_us and not self.closed:
+        if self.silent and not self.limit:
+            self.silent = False
+        # why: where each link is dealt, one beyond our part would be somebody else's
+        room = self.forwarder is None or self.open < self.limit
+        if self.silent and room and not self.dialing and self.ctx.nowUs() >= self.dial_from_us and not self.closed:
             self.dialing += 1
             self.ctx.spawn(work=self._dial(), name="link.probe")
 
@@ -96,8 +107,33 @@
             best = next((i for i in reversed(range(len(self.idle))) if not self.idle[i].values), None)
         return self.idle.pop(-1 if best is None else best)
 
-    async def acquire(self, *, values: dict[bytes, bytes], rank: int, until_us: int) -> Result[Link, Fault]:
-        """A link for one statement or transaction; crowded at once where none can come in time."""
+    async def acquire(
+        self, *, values: dict[bytes, bytes], rank: int, until_us: int, database: str = ""
+    ) -> Result[Link, Fault]:
+        """A link for one statement or transaction: of our own, or else one that stands in for a holder's."""
+        if self.limit or self.forwarder is None or self.closed:
+            return await self.acquire_own(values=values, rank=rank, until_us=until_us)
+        taken = await self.forwarder.link(
+            holders=self.holders,
+            backend=self.backend.name,
+            service=self.backend.service,
+            database=database,
+            rank=rank,
+            until_us=until_us,
+        )
+        if taken.is_error():
+            return Error(taken.error)
+        self.forwarded.add(id(taken.ok))
+        return Ok(self._take(link=taken.ok))
+
+    def allow(self, *, limit: int) -> None:
+        """How many links this booth may hold. What lies idle beyond that is closed at once."""
+        self.limit = limit
+        while self.idle and len(self.idle) + len(self.taken) - len(self.forwarded) > limit:
+            self.idle.pop(0).close()
+
+    async def acquire_own(self, *, values: dict[bytes, bytes], rank: int, until_us: int) -> Result[Link, Fault]:
+        """A link of our own; crowded at once where none can come in time."""
         if self.closed:
             return Error(Fault(kind=Kind.noBackend, why=f"{self.backend.name} is leaving"))
         link = self._pick(values=values)
@@ -174,7 +210,7 @@
         link = result.ok
         link.on_lost = lambda: self._lost(link=link)
         self.heard()
-        if self.closed or len(self.idle) + len(self.taken) >= self.limit:
+        if self.closed or len(self.idle) + len(self.taken) - len(self.forwarded) >= self.limit:
             link.close()
         else:
             self._offer(link=link)
@@ -225,12 +261,16 @@
         entry = self.taken.pop(id(link), None)
         if entry is None:
             return
+        if id(link) in self.forwarded:
+            self.forwarded.discard(id(link))
+            link.close()
+            return
         held_us = self.ctx.nowUs() - entry[1]
         self.hold_us += (held_us - self.hold_us) // 8
         if not link.open:
             self.grow()
             return
-        if not keep or self.closed or link.waiting or len(self.idle) + len(self.taken) >= self.limit:
+        if not keep or self.closed or link.waiting or self.open >= self.limit + self.dialing:
             link.close()
             self.grow()
             return
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -18,7 +18,8 @@
 from ..steward.booth_places import PLACES_KEY
 from ..steward.service_lead import PREFIX, LeadState, ServiceLead
 from ..steward.slots import SLOTS_KEY
-from .dealing import Spot, dealt_copies
+from .dealing import Spot, dealt_copies, dealt_links
+from .forwarder import Forwarder, Holder
 from .freshness import Freshness
 from .link import Dialer
 from .link_pool import LinkPool
@@ -40,7 +41,11 @@
 BEGIN_US = 3_000_000
 SILENT_LEFT_US = 1_000_000
 MOST_ALIASES = 4_096
+# why: longer than a view is current, so that whoever holds fewer links from now on has heard so
+RISE_US = 1_500_000
+UNPLACED_US = 10_000_000
 TENDED_AT_ONCE = 50
+TABLES = (SLOTS_KEY, PLACES_KEY)
 RECKONED = (PLAN_KEY, SLOTS_KEY, PLACES_KEY, "backends")
 
 
@@ -62,6 +67,12 @@
         self.dialer = dialer
         self.distance = distance
         self.region = region
+        # why: set where this booth can be reached by others; without it links are lent
+        self.forwarder: Forwarder | None = None
+        self.links: dict[tuple[str, int], dict[int, int]] = {}
+        self.table_us = -RISE_US
+        self.rising = False
+        self.unplaced = False
         self.began_us = ctx.nowUs()
         self.pools: dict[str, LinkPool] = {}
         self.fresh: dict[str, Freshness] = {}
@@ -93,6 +104,10 @@
             if service in self.members:
                 self._reckon_service(service=service)
         elif key in RECKONED:
+            if key in TABLES:
+                # why: what is known when this booth begins was dealt before, and nobody else holds it
+                self.table_us = self.ctx.nowUs() if self.links else self.table_us
+                self.links = {}
             self.reckon()
 
     def alias(self, *, shape: bytes, writes: bool) -> bytes:
@@ -121,6 +136,7 @@
                     pool = LinkPool(
                         ctx=self.ctx, backend=announcement, dialer=self.dialer, on_trouble=self.view.hurry
                     )
+                    pool.limit = 0
                     self.pools[name] = pool
                 pool.backend = announcement
         kept = {name for each in names.values() for name in each}
@@ -152,13 +168,45 @@
         cap = max(1, plan.services[service].link_cap - CONTROL_LINKS)
         part = self._part(cap=cap)
         scarce = cap < len(self.view.slots.names)
-        kept = self._kept_copy(copies=copies, room=cap, booth_id=booth_id) if scarce else ""
+        forwards = scarce and self.forwarder is not None and (bool(self.view.places) or not self.unplaced)
+        # why: before any ids are dealt nobody knows how many there are to share with
+        unknown = self.forwarder is not None and not self.view.slots.names
+        kept = self._kept_copy(copies=copies, room=cap, booth_id=booth_id) if scarce and not forwards else ""
         for name in listed:
-            self.pools[name].limit = max(1, part)
+            pool = self.pools[name]
+            if forwards:
+                self._deal(pool=pool, room=cap, booth_id=booth_id)
+            else:
+                pool.forwarder, pool.holders = None, ()
+                pool.allow(limit=0 if unknown else max(1, part))
             # why: with fewer links than booths each keeps one to one copy, and to others only while it uses it
-            self.pools[name].lend(lent=scarce and name != kept)
+            pool.lend(lent=scarce and not forwards and name != kept)
             self._obey(name=name, leads=lead is not None and lead.primary == name)
 
+    def _deal(self, *, pool: LinkPool, room: int, booth_id: int | None) -> None:
+        """Which booths hold links to a backend: this one its part, or else those that send in its stead."""
+        places, announcement = self.view.places, pool.backend
+        named = [(n, name) for n, name in self.view.slots.names if name in places and places[name].records]
+        dealt = self.links.get((announcement.name, room))
+        if dealt is None:
+            dealt = self.links[(announcement.name, room)] = dealt_links(
+                booths=[(n, self._spot(site=places[name].site)) for n, name in named],
+                backend=announcement.name,
+                spot=self._spot(site=announcement.site),
+                room=room,
+            )
+        limit = 0 if booth_id is None else dealt.get(booth_id, 0)
+        if limit > pool.limit and self.ctx.nowUs() - self.table_us < RISE_US:
+            # why: those that held what is ours now may not know it yet, and the cap is not to be passed meanwhile
+            self.rising, limit = True, pool.limit
+        pool.forwarder = self.forwarder
+        pool.holders = tuple(
+            Holder(self.distance(places[name].site), name, places[name].records)
+            for n, name in named
+            if n in dealt and name != self.ctx.name
+        )
+        pool.allow(limit=limit)
+
     def _spot(self, *, site: str) -> Spot:
         return Spot(site, self.region(site))
 
@@ -201,6 +249,13 @@
     def tend(self) -> None:
         """Now and then: links that should stand ready, silent backends, samples that will be wanted."""
         self.shards.look()
+        if not self.unplaced and not self.view.places and self.ctx.nowUs() - self.began_us > UNPLACED_US:
+            # why: guildhalls of an earlier version keep no table of places, and links are lent as they were then
+            self.unplaced = True
+            self.reckon()
+        if self.rising and self.ctx.nowUs() - self.table_us >= RISE_US:
+            self.rising = False
+            self.reckon()
         plan = self.view.plan
         if plan is None:
             return
@@ -356,7 +411,7 @@
         if led.ok.load < PRIMARY_READS and not led.ok.trouble:
             return sorted([*copies, led.ok], key=self._cost)
         # why: copies that all lag must not send a whole crowd to the primary
-        return [*copies, led.ok] if led.ok.load < 2 * led.ok.limit else copies
+        return [*copies, led.ok] if led.ok.load < 2 * max(1, led.ok.limit) else copies
 
     def guard(self, *, route: DatabaseRoute, arrived_us: int, own: Position | None) -> Result[Position, Fault]:
         """The position that a copy must have for this read."""
--- a/src/cinderstair/booth/session.py
+++ b/src/cinderstair/booth/session.py
@@ -10,6 +10,7 @@
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
 from ..pitch.position import Position
+from .levelling import level
 from .link import Link
 from .link_pool import LinkPool
 from .reply import Reply, State, refusal
@@ -116,12 +117,7 @@
 
     def _level(self, *, link: Link) -> None:
         """Brings a link that nobody else uses to this session's values."""
-        if link.values != self.values:
-            if any(name not in self.values for name in link.values):
-                link.clear()
-            for name, value in self.values.items():
-                if link.values.get(name) != value:
-                    link.set_value(name=name, value=value)
+        level(link=link, values=self.values)
 
     def _send(self, *, link: Link, statement: Statement, at_least: Position | None) -> asyncio.Future[Reply]:
         self._level(link=link)
@@ -171,7 +167,7 @@
             if led.is_error():
                 return self._refused(fault=led.error)
             pool = led.ok
-            taken = await pool.acquire(values=self.values, rank=route.rank, until_us=until_us)
+            taken = await pool.acquire(values=self.values, rank=route.rank, until_us=until_us, database=self.database)
             if taken.is_error():
                 fault = taken.error
                 if fault.kind == Kind.crowded:
@@ -318,7 +314,7 @@
         until_us: int,
     ) -> Reply | Fault:
         pool, at_least = place
-        taken = await pool.acquire(values=self.values, rank=route.rank, until_us=until_us)
+        taken = await pool.acquire(values=self.values, rank=route.rank, until_us=until_us, database=self.database)
         if taken.is_error():
             return taken.error
         link = taken.ok
@@ -400,7 +396,7 @@
     ) -> Result[Link, Fault]:
         pool, at_least = place
         route = transaction.route
-        taken = await pool.acquire(values=self.values, rank=route.rank, until_us=until_us)
+        taken = await pool.acquire(values=self.values, rank=route.rank, until_us=until_us, database=self.database)
         if taken.is_error():
             return Error(taken.error)
         link = taken.ok
--- a/src/cinderstair/fairground/platformsim/backend_door.py
+++ b/src/cinderstair/fairground/platformsim/backend_door.py
@@ -4,6 +4,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
+from ...booth.router import CONTROL_LINKS
 from .asked import Asked
 from .attempt import Attempt
 from .log_entry import LogEntry
@@ -145,9 +146,24 @@
             self._error(b"FULL " + own, close=True)
             return
         self.greeted = True
+        self._count()
         if not self._work(cost_us=backend.costs.link_us, then=lambda: self._ready(b"")):
             self._error(b"BUSY " + own, close=True)
 
+    def _count(self) -> None:
+        """Booths' connections here; one whose far end is dead, or has closed it, is not theirs any more."""
+        backend = self.backend
+        if not self.far_end.startswith("booth-"):
+            return
+        ends = [door.transport.peer for door in backend.doors if door.greeted and door.transport is not None]
+        held = sum(
+            end.host.startswith("booth-") and not end.closing and (end.boot is None or not end.boot.dead)
+            for end in ends
+        )
+        max_links = backend.service.max_links
+        scarce = backend.referee.booths > max_links - CONTROL_LINKS
+        backend.referee.cap.greeted(backend=backend.name, held=held, max_links=max_links, scarce=scarce)
+
     def _work(self, *, cost_us: int, then: Any) -> bool:
         def run() -> None:
             if self.transport is not None:
--- a/src/cinderstair/fairground/platformsim/platform_faults.py
+++ b/src/cinderstair/fairground/platformsim/platform_faults.py
@@ -20,7 +20,7 @@
 from ...pitch.kind import Kind
 from ...steward.promotion_duty import PromotionDuty
 from ..simdisk import SimDisk
-from . import shard_faults
+from . import forward_faults, shard_faults
 from .repository import see_adapter
 
 Patches = list[Any]
@@ -273,6 +273,12 @@
         older_again,
         altered_read_back,
         disks_forget,
+        forward_faults.forwards_unchecked,
+        forward_faults.forwards_promised,
+        forward_faults.forwards_again,
+        forward_faults.forwards_any_values,
+        forward_faults.forwards_unmoved,
+        forward_faults.links_at_once,
         shard_faults.old_map_writes_on,
         shard_faults.moves_unclosed,
         shard_faults.samples_from_before,
--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from . import config_trials, lead_trials, machine_trials, mixed_trials, shard_trials
+from . import config_trials, few_links_trials, lead_trials, machine_trials, mixed_trials, shard_trials
 from .platform_verdict import PlatformVerdict
 from .platform_world import PlatformWorld
 from .repository import see_adapter
@@ -21,6 +21,8 @@
     clients: int = 9
     think_us: int = 280_000
     transaction_share: float = 0.3
+    booths: int = 3
+    max_links: int = 60
 
 
 TRIALS: dict[str, Trial] = {
@@ -61,6 +63,30 @@
         Trial(config_trials.configurations),
         Trial(config_trials.configurations_under_kills),
         Trial(mixed_trials.mixed),
+        *(
+            Trial(play, needs, clients=18, booths=6, max_links=9)
+            for play, needs in (
+                (few_links_trials.few_links_calm, ("CAP",)),
+                (few_links_trials.few_links_killed, ("CAP",)),
+                (few_links_trials.few_links_frozen, ("CAP",)),
+                (few_links_trials.few_links_frozen_in_move, ("CAP",)),
+                (few_links_trials.few_links_stopped, ("CAP", "LOST")),
+                (few_links_trials.few_links_promoted, ("CAP", *MOVE)),
+                (few_links_trials.few_links_released, ("CAP", "LOST")),
+                (few_links_trials.few_links_all_killed, ("CAP",)),
+                (few_links_trials.few_links_old_primary, ("CAP", *MOVE)),
+                (few_links_trials.few_links_ids_change, ("CAP",)),
+                (few_links_trials.few_links_mixed, ("CAP",)),
+            )
+        ),
+        Trial(
+            few_links_trials.few_links_shards,
+            ("SHARD", "CAP"),
+            clients=24,
+            think_us=90_000,
+            booths=6,
+            max_links=9,
+        ),
         Trial(shard_trials.shards_in_a_match, ("SHARD",), clients=24, think_us=90_000),
         Trial(shard_trials.shards_in_a_rush, ("SHARD",), clients=18, transaction_share=0.7),
         Trial(shard_trials.shards_booth_deaf, ("SHARD",)),
@@ -88,6 +114,8 @@
         "misled": referee.misled,
         "promotions": len(world.platform.calls),
         "dials": world.fabric.dialled,
+        "opened": referee.cap.opened,
+        "held": referee.cap.most,
         "config_ms": max(world.operator.took_us, default=0) // 1_000,
     }
     return PlatformVerdict(
@@ -103,7 +131,13 @@
 def run_trial(*, name: str, seed: int, log_level: int = 50, clients: int | None = None) -> PlatformVerdict:
     see_adapter()
     trial = TRIALS[name]
-    world = PlatformWorld(seed=seed, waits_for=trial.waits_for, log_level=log_level)
+    world = PlatformWorld(
+        seed=seed,
+        waits_for=trial.waits_for,
+        booths=trial.booths,
+        max_links=trial.max_links,
+        log_level=log_level,
+    )
     try:
         world.begin()
         count = trial.clients if clients is None else clients
--- a/src/cinderstair/fairground/platformsim/platform_world.py
+++ b/src/cinderstair/fairground/platformsim/platform_world.py
@@ -51,6 +51,7 @@
         backends: int = 3,
         waits_for: int = 1,
         promote_us: int = 500_000,
+        max_links: int = 60,
         log_level: int = logging.CRITICAL,
     ) -> None:
         self.seed = seed
@@ -79,6 +80,7 @@
         self.expected: set[str] = set()
         self.replaced = 0
         self.referee = Referee(in_touch=lambda name: self.in_touch(name=name))
+        self.referee.booths = len(self.booths)
         for number, name in enumerate([*self.guildhalls, *self.booths]):
             self._place(name=name, zone=ZONES[number % len(ZONES)])
         for name in ("platform", "operator", "prober"):
@@ -86,7 +88,9 @@
         self.services: dict[str, StandInService] = {}
         self.backends: dict[str, StandInBackend] = {}
         for number in range(services):
-            service = StandInService(name=f"ledger{number}", waits_for=waits_for, max_links=60, promote_us=promote_us)
+            service = StandInService(
+                name=f"ledger{number}", waits_for=waits_for, max_links=max_links, promote_us=promote_us
+            )
             service.on_promoted.append(lambda backend, lost: self.referee.promoted(backend=backend, lost=lost))
             self.services[service.name] = service
             for index in range(backends):
--- a/src/cinderstair/fairground/platformsim/referee.py
+++ b/src/cinderstair/fairground/platformsim/referee.py
@@ -6,6 +6,7 @@
 
 from .asked import Asked
 from .attempt import Attempt
+from .cap_checker import CapChecker
 from .checker import Checker
 from .config_checker import ConfigChecker
 from .drain_checker import DrainChecker
@@ -50,12 +51,14 @@
         self.drain = DrainChecker(drain_us=DRAIN_US)
         self.config = ConfigChecker(apply_us=APPLY_US, step_back_us=STEP_BACK_US)
         self.shard = ShardChecker()
+        self.cap = CapChecker()
         self.recover = RecoverChecker(recovery_us=RECOVERY_US)
         self.asked: dict[bytes, Asked] = {}
         self.entries_by_commit: dict[bytes, LogEntry] = {}
         self.handed: set[bytes] = set()
         self.misled = 0
         self.full = 0
+        self.booths = 0
         self.answers: Counter[str] = Counter()
 
     @property
--- a/steps/boothsteps.py
+++ b/steps/boothsteps.py
@@ -20,7 +20,7 @@
     statement,
 )
 
-from cinderstair.booth.dealing import Spot, dealt_copies
+from cinderstair.booth.dealing import Spot, dealt_copies, dealt_links
 from cinderstair.booth.freshness import Freshness
 from cinderstair.booth.link_pool import LinkPool
 from cinderstair.booth.reply import State
@@ -165,6 +165,59 @@
         assert len(moved) <= most, (gone, moved)
 
 
+def links_of(*, context: Any, booths: list[tuple[int, Spot]], backend: str) -> dict[int, int]:
+    return dealt_links(booths=booths, backend=backend, spot=context.backend_spot, room=context.room)
+
+
+@given('a backend "{name}" in "{site}" that takes {room:d} links')
+def given_backend_spot(context: Any, name: str, site: str, room: int) -> None:
+    context.backend_spot, context.room = spots(text=site)[0], room
+    context.links = links_of(context=context, booths=context.booth_spots, backend=name)
+
+
+@then('the links are dealt "{text}"')
+def then_links(context: Any, text: str) -> None:
+    found = " ".join(str(context.links.get(n, "-")) for n, _ in context.booth_spots)
+    assert found == text, found
+
+
+@then("all links dealt are {count:d}")
+def then_links_sum(context: Any, count: int) -> None:
+    assert sum(context.links.values()) == count, context.links
+
+
+@then('of the region "n" {home:d} booths hold links, of "s" {far:d} and of "w" {third:d}')
+def then_link_holders(context: Any, home: int, far: int, third: int) -> None:
+    found = [sum(spot.region == each and n in context.links for n, spot in context.booth_spots) for each in "nsw"]
+    assert found == [home, far, third], found
+
+
+@then("in each zone somebody holds links")
+def then_zones_hold(context: Any) -> None:
+    zones = {spot.site for _, spot in context.booth_spots}
+    assert zones == {spot.site for n, spot in context.booth_spots if n in context.links}
+
+
+@then('over {count:d} backends at that place no booth of "{region}" holds for more than {most:d} and none for nobody')
+def then_links_even(context: Any, count: int, region: str, most: int) -> None:
+    held = {n: 0 for n, spot in context.booth_spots if spot.region == region}
+    for number in range(count):
+        for n in links_of(context=context, booths=context.booth_spots, backend=f"i-{number}"):
+            if n in held:
+                held[n] += 1
+    assert max(held.values()) <= most and min(held.values()) > 0, held
+
+
+@then("with any one booth less at most {most:d} others hold another number of links")
+def then_links_churn(context: Any, most: int) -> None:
+    worst = 0
+    for gone, _ in context.booth_spots:
+        left = [entry for entry in context.booth_spots if entry[0] != gone]
+        links = links_of(context=context, booths=left, backend="x")
+        worst = max(worst, sum(links.get(n) != context.links.get(n) for n, _ in left))
+    assert worst <= most, worst
+
+
 # -- the pool --
 
 
