A holder that answers again is asked again at once, and one that is gone ever more seldom

Cause, from reading the change again: a holder that was lost was left out for a second even where it had answered meanwhile; one that was gone for good cost each asker a greeting every second; who waited for a link of a booth whose part had just gone to others waited until its time was up.

--- a/src/cinderstair/booth/forward_desk.py
+++ b/src/cinderstair/booth/forward_desk.py
@@ -44,12 +44,18 @@
     def __init__(self, *, ctx: Context, router: Router, desk: Desk) -> None:
         self.ctx = ctx
         self.router = router
-        self.life = ctx.luck.getrandbits(62) | 1
+        self._life = 0
         self.channels: dict[tuple[str, int], Channel] = {}
         self.writes: Counter[str] = Counter()
         self.stopping = False
         desk.open(kind=FORWARD, answer=self.answer)
 
+    @property
+    def life(self) -> int:
+        """Drawn when it is first asked for."""
+        self._life = self._life or self.ctx.luck.getrandbits(62) | 1
+        return self._life
+
     # -- what the booth asks --
 
     def writing(self, *, databases: frozenset[str]) -> bool:
--- a/src/cinderstair/booth/forwarder.py
+++ b/src/cinderstair/booth/forwarder.py
@@ -17,7 +17,7 @@
 # why: what is in the answerer's clock may have drifted from ours since; so little that this is far more
 CLOCK_FOR_US = 10_000_000
 CLOCK_MARGIN_US = 3_000
-AWAY_US = 1_000_000
+AWAY_US, AWAY_MOST_US = 1_000_000, 8_000_000
 LEAVING_US = 10_000_000
 SILENT_US = 400_000
 KEEP_EVERY_US = 700_000
@@ -41,9 +41,14 @@
     ahead_us: int = 0
     heard_us: int = 0
     away_until_us: int = 0
+    leaving_until_us: int = 0
+    failures: int = 0
     under_way: int = 0
     silent_since_us: int = 0
 
+    def away(self, *, now_us: int) -> bool:
+        return max(self.away_until_us, self.leaving_until_us) > now_us
+
 
 class Forwarder:
     """Each question is sent once. Nothing of it reaches a backend after the time that the asker gave."""
@@ -64,7 +69,7 @@
 
         def cost(holder: Holder) -> tuple[bool, int, int, float]:
             peer = self.peer(address=holder.address)
-            return peer.away_until_us > now_us, holder.near, peer.under_way, self.ctx.luck.random()
+            return peer.away(now_us=now_us), holder.near, peer.under_way, self.ctx.luck.random()
 
         return sorted(holders, key=cost)
 
@@ -76,7 +81,7 @@
             peer = self.peer(address=holder.address)
             if not peer.life or self.ctx.nowUs() - peer.heard_us > CLOCK_FOR_US:
                 await self._greet(holder=holder, until_us=until_us)
-            if peer.life and peer.away_until_us <= self.ctx.nowUs():
+            if peer.life and not peer.away(now_us=self.ctx.nowUs()):
                 self.number += 1
                 base = ForwardQuestion(
                     asker=self.ctx.name,
@@ -137,14 +142,17 @@
         ahead_us = answer.now_us - now_us
         if answer.life != peer.life or now_us - peer.heard_us > CLOCK_FOR_US // 2 or ahead_us > peer.ahead_us:
             peer.life, peer.ahead_us, peer.heard_us = answer.life, ahead_us, now_us
+        peer.failures, peer.away_until_us = 0, 0
         if answer.reply.fault == Kind.draining:
-            peer.away_until_us = now_us + LEAVING_US
+            peer.leaving_until_us = now_us + LEAVING_US
 
     def lost(self, *, address: str) -> None:
         peer = self.peer(address=address)
         # why: it may have begun anew, with another clock, so it is greeted before it is asked anything
         peer.life = 0
-        peer.away_until_us = self.ctx.nowUs() + AWAY_US
+        # why: one that is gone for long must not cost each asker a wait again and again
+        peer.away_until_us = self.ctx.nowUs() + min(AWAY_MOST_US, AWAY_US << min(peer.failures, 3))
+        peer.failures += 1
 
     def tend(self) -> None:
         """Now and then: holders that are silent are gone round; transactions that rest are kept."""
--- a/src/cinderstair/booth/link_pool.py
+++ b/src/cinderstair/booth/link_pool.py
@@ -131,6 +131,9 @@
         self.limit = limit
         while self.idle and len(self.idle) + len(self.taken) - len(self.forwarded) > limit:
             self.idle.pop(0).close()
+        if not limit:
+            # why: who waits here would wait in vain, and may be sent elsewhere
+            self._fail_waiting()
 
     async def acquire_own(self, *, values: dict[bytes, bytes], rank: int, until_us: int) -> Result[Link, Fault]:
         """A link of our own; crowded at once where none can come in time."""
--- a/src/cinderstair/booth/place_teller.py
+++ b/src/cinderstair/booth/place_teller.py
@@ -3,6 +3,7 @@
 from ..pitch.context import Context
 from ..pitch.desks import PLACE
 from ..pitch.packer import Packer
+from ..stall.share import rank
 from ..steward.booth_places import BoothPlace
 from .relayed_view import RelayedView
 
@@ -18,7 +19,7 @@
         self.view = view
         self.place = place
         # why: booths that begin together must not all tell in the same moment
-        self.tell_from_us = ctx.nowUs() + ctx.luck.randrange(TELL_EVERY_US // 4)
+        self.tell_from_us = ctx.nowUs() + int.from_bytes(rank(seed=0, name=ctx.name)[:4]) % (TELL_EVERY_US // 4)
 
     def tend(self) -> None:
         now_us = self.ctx.nowUs()
