Trials with fewer links than booths, a checker of late writes, faults for the guards

LATE: no write or commit reaches a backend over a second after its client was answered (left out for 5 s after a cut, whose bytes come late whoever sent them). It sees a holder that sends whatever lay before it while it stood still. Faults: a holder that checks nothing (LATE), one that promises what it does not know (REFUSED), one that leaves a link's values as they were (PINNED), links taken as soon as they are dealt anew (CAP). Tried without effect on any rule: a holder that votes as done with a database while it writes there for others.

--- a/src/cinderstair/fairground/platformsim/asked.py
+++ b/src/cinderstair/fairground/platformsim/asked.py
@@ -12,7 +12,8 @@
     """Kinds: read, write, begin, begin_read, commit, undo.
 
     `first_us` is when the first byte of it, or of its transaction, left. `values` are the session values that were
-    acknowledged by then; `shape` is what the client prepared, where it runs a name.
+    acknowledged by then; `shape` is what the client prepared, where it runs a name. `told_us` is the moment of its
+    answer.
     """
 
     ident: bytes
@@ -26,4 +27,5 @@
     values: dict[bytes, bytes] = field(default_factory=dict)
     shape: tuple[bytes, bool] | None = None
     rest: bytes = b""
+    told_us: int | None = None
     stamps: dict[bytes, tuple[bytes, ...]] = field(default_factory=dict)
--- a/src/cinderstair/fairground/platformsim/few_links_trials.py
+++ b/src/cinderstair/fairground/platformsim/few_links_trials.py
@@ -1,6 +1,6 @@
 """Trials in which a backend takes fewer connections than there are booths."""
 
-from . import mixed_trials, shard_trials
+from . import machine_trials, mixed_trials, shard_trials
 from .lead_trials import BACK_MS, moved
 from .machine_trials import back
 from .platform_world import PlatformWorld
@@ -136,3 +136,7 @@
 
 def few_links_mixed(world: PlatformWorld) -> None:
     mixed_trials.mixed(world)
+
+
+def few_links_answers_lost(world: PlatformWorld) -> None:
+    machine_trials.answers_lost(world)
--- a/src/cinderstair/fairground/platformsim/forward_faults.py
+++ b/src/cinderstair/fairground/platformsim/forward_faults.py
@@ -8,7 +8,6 @@
 from ...booth import forward_desk, router
 from ...booth.forward_desk import ForwardDesk
 from ...booth.forward_record import Outcome
-from ...booth.forwarded_link import ForwardedLink
 from ...pitch.fault import Fault
 from ...pitch.kind import Kind
 
@@ -36,36 +35,11 @@
     return [patch.object(ForwardDesk, "_single_now", promised)]
 
 
-def forwards_again() -> Patches:
-    """What was passed on and not answered is passed on once more, as if it had not been sent."""
-    ask = ForwardedLink._answer
-
-    async def again(self: Any, *, question: Any, future: Any) -> None:
-        result = await self.forwarder.ask(address=self.address, question=question, limit_us=self.limit_us // 4)
-        if result.is_error():
-            await ask(self, question=question, future=future)
-        else:
-            self.owed.pop(future, None)
-            self.state = result.ok.reply.state
-            if not future.done():
-                future.set_result(result.ok.reply)
-
-    return [patch.object(ForwardedLink, "_answer", again)]
-
-
 def forwards_any_values() -> Patches:
     """A holder's link is not brought up to the values of the session that it serves."""
     return [patch.object(forward_desk, "level", lambda *, link, values: None)]
 
 
-def forwards_unmoved() -> Patches:
-    """A holder votes that it is done with a database while it still writes there for others, and goes on with it."""
-    return [
-        patch.object(ForwardDesk, "writing", lambda self, *, databases: False),
-        patch.object(ForwardDesk, "_may_go_on", lambda self, *, question, channel: channel.link is not None),
-    ]
-
-
 def links_at_once() -> Patches:
     """What is dealt anew is taken at once, while others may still hold it."""
     return [patch.object(router, "RISE_US", 0)]
--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/late_checker.py
@@ -0,0 +1,25 @@
+"""Nothing is written for a client that was told long ago how it ended."""
+
+from .asked import Asked
+from .checker import Checker
+
+LATE_US = 1_000_000
+
+
+class LateChecker(Checker):
+    """Only where nothing was cut lately, for what a cut holds up comes when it is over, whoever sent it."""
+
+    rule = "LATE"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cut_us = -10_000_000
+
+    def arrived(self, *, asked: Asked, now_us: int, backend: str) -> None:
+        if asked.kind not in ("write", "commit") or now_us - self.cut_us < 5 * LATE_US:
+            return
+        late_us = 0 if asked.told_us is None else now_us - asked.told_us
+        self.judge(
+            fine=late_us <= LATE_US,
+            what=f"{asked.kind} {asked.ident!r} reached {backend} {late_us // 1_000} ms after its client's answer",
+        )
--- a/src/cinderstair/fairground/platformsim/platform_client.py
+++ b/src/cinderstair/fairground/platformsim/platform_client.py
@@ -301,6 +301,7 @@
         answer = await self._answer(line=b"ASK " + ident + b" " + text, until_us=until_us)
         if answer is None:
             return CUT if self.wire is not None and self.wire.ended else SILENT
+        asked.told_us = self.now_us
         if answer.code:
             return await self._failed(attempt=attempt, asked=asked, answer=answer)
         if kind in ("read", "write", "commit"):
--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -77,6 +77,7 @@
                 (few_links_trials.few_links_old_primary, ("CAP", *MOVE)),
                 (few_links_trials.few_links_ids_change, ("CAP",)),
                 (few_links_trials.few_links_mixed, ("CAP",)),
+                (few_links_trials.few_links_answers_lost, ("CAP",)),
             )
         ),
         Trial(
--- a/src/cinderstair/fairground/platformsim/platform_world.py
+++ b/src/cinderstair/fairground/platformsim/platform_world.py
@@ -312,6 +312,8 @@
         for name in [*ones, *others]:
             if name in self.boots:
                 self.note(name=name, for_us=None)
+        # why: far ahead, until the cut is healed
+        self.referee.late.cut_us = 1 << 62
         for one in ones:
             for other in others:
                 self.wires.cuts.add((one, other))
@@ -322,6 +324,7 @@
         for name in self.boots:
             self.past(name=name)
         self.wires.cuts.clear()
+        self.referee.late.cut_us = self.now_us
 
     # -- in touch --
 
--- a/src/cinderstair/fairground/platformsim/platformfaults.feature
+++ b/src/cinderstair/fairground/platformsim/platformfaults.feature
@@ -30,6 +30,13 @@
       | altered_read_back  | calm_day                  | 1    | CONFIG  | read back otherwise than sent     |
       | disks_forget       | all_killed                | 1    | RECOVER | served after the closing fault    |
 
+    Examples: statements passed on between booths
+      | fault               | trial                  | seed | rule    | words                      |
+      | forwards_unchecked  | few_links_frozen       | 2    | LATE    | after its client's answer  |
+      | forwards_promised   | few_links_answers_lost | 1    | REFUSED | and is kept                |
+      | forwards_any_values | few_links_calm         | 1    | PINNED  | values                     |
+      | links_at_once       | few_links_ids_change   | 1    | CAP     | booths hold 4 of 9         |
+
   Scenario: A run in which a checker had no chance has failed
     When the platform trial calm_day is played with seed 1 and no clients
     Then the rule STALE had no chance, and the run has failed
--- a/src/cinderstair/fairground/platformsim/platformsim.feature
+++ b/src/cinderstair/fairground/platformsim/platformsim.feature
@@ -56,6 +56,22 @@
       | configurations             | 99    | 2    |
       | configurations_under_kills | 99    | 1    |
 
+    Examples: 3 links to a backend for 6 booths
+      | trial                    | share | last |
+      | few_links_calm           | 99    | 1    |
+      | few_links_killed         | 93    | 1    |
+      | few_links_frozen         | 93    | 2    |
+      | few_links_frozen_in_move | 93    | 1    |
+      | few_links_stopped        | 98    | 1    |
+      | few_links_promoted       | 93    | 1    |
+      | few_links_released       | 97    | 1    |
+      | few_links_all_killed     | 85    | 1    |
+      | few_links_old_primary    | 93    | 2    |
+      | few_links_ids_change     | 98    | 1    |
+      | few_links_answers_lost   | 93    | 1    |
+      | few_links_shards         | 95    | 1    |
+      | few_links_mixed          | 85    | 1    |
+
     Examples: several at once
       | trial | share | last |
       | mixed | 88    | 2    |
--- a/src/cinderstair/fairground/platformsim/referee.py
+++ b/src/cinderstair/fairground/platformsim/referee.py
@@ -10,6 +10,7 @@
 from .checker import Checker
 from .config_checker import ConfigChecker
 from .drain_checker import DrainChecker
+from .late_checker import LateChecker
 from .log_entry import LogEntry
 from .lost_checker import LostChecker
 from .mixed_checker import MixedChecker
@@ -52,6 +53,7 @@
         self.config = ConfigChecker(apply_us=APPLY_US, step_back_us=STEP_BACK_US)
         self.shard = ShardChecker()
         self.cap = CapChecker()
+        self.late = LateChecker()
         self.recover = RecoverChecker(recovery_us=RECOVERY_US)
         self.asked: dict[bytes, Asked] = {}
         self.entries_by_commit: dict[bytes, LogEntry] = {}
@@ -79,6 +81,7 @@
         )
         self.handed.add(ident)
         backend = door.backend
+        self.late.arrived(asked=asked, now_us=backend.now_us, backend=backend.name)
         if asked.alone or asked.attempt.place is None:
             self.drain.received(
                 backend=backend.name,
