A part that grows is taken later also where links become enough, or too few

Cause: the delay held only between two dealings of too few links; a booth less, and all took their even parts at once while some still held several. Seen by a scenario of the router, which came with the others for dealing.

--- a/src/cinderstair/booth/link_pool.feature
+++ b/src/cinderstair/booth/link_pool.feature
@@ -255,3 +255,12 @@
     When links are lent
     And 450 ms pass at the pool
     Then 0 links are open and 2 were dialled
+
+  Scenario: Who waits for a link of a booth that may hold none any more is told so at once
+    Given a pool of 1 links
+    When 1 ask for a link
+    And 1 ask for a link
+    And the pool may have no links any more
+    Then those that asked have "1 a link, 1 noBackend"
+    When all links are given back
+    Then 0 links are open and 1 were dialled
--- a/src/cinderstair/booth/router.feature
+++ b/src/cinderstair/booth/router.feature
@@ -205,3 +205,30 @@
     When "b" says that it is gone
     Then "b" is open to new statements: no
     And reads may go to "a"
+
+  Scenario: With fewer links than booths all parts add up to the cap, and who has none knows who has some
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    Then with 16 links for each backend and 30 booths that can be reached the parts add up to 10, and all others know the holders
+
+  Scenario: What is dealt anew is taken when whoever held it must have heard, and given back at once
+    Given a booth that can be reached, one of 12 before "a", which takes 10 links
+    Then it may hold its part of "a"
+    When the ids are dealt anew, so that it may hold more
+    Then it may hold what it held
+    When the router tends for 1400 ms
+    Then it may hold what it held
+    When the router tends for 200 ms
+    Then it may hold its part of "a"
+    When the ids are dealt anew, so that it may hold less
+    Then it may hold its part of "a"
+
+  Scenario: Where nobody says where booths are, links are lent after a while
+    Given a booth that can be reached, one of 12 before "a", which takes 10 links
+    And no table of places
+    Then it may hold 0 links to "a"
+    When the router tends for 10200 ms
+    Then it may hold 1 links to "a"
+
+  Scenario: Before any ids are dealt a booth that can be reached holds nothing
+    Given a booth that can be reached, one of 0 before "a", which takes 10 links
+    Then it may hold 0 links to "a"
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -178,7 +178,7 @@
                 self._deal(pool=pool, room=cap, booth_id=booth_id)
             else:
                 pool.forwarder, pool.holders = None, ()
-                pool.allow(limit=0 if unknown else max(1, part))
+                self._allow(pool=pool, limit=0 if unknown else max(1, part))
             # why: with fewer links than booths each keeps one to one copy, and to others only while it uses it
             pool.lend(lent=scarce and not forwards and name != kept)
             self._obey(name=name, leads=lead is not None and lead.primary == name)
@@ -196,15 +196,22 @@
                 room=room,
             )
         limit = 0 if booth_id is None else dealt.get(booth_id, 0)
-        if limit > pool.limit and self.ctx.nowUs() - self.table_us < RISE_US:
-            # why: those that held what is ours now may not know it yet, and the cap is not to be passed meanwhile
-            self.rising, limit = True, pool.limit
+        if pool.forwarder is None and pool.limit:
+            # why: till now each had its even part, and the others may not have given theirs back
+            self.table_us = self.ctx.nowUs()
         pool.forwarder = self.forwarder
         pool.holders = tuple(
             Holder(self.distance(places[name].site), name, places[name].records)
             for n, name in named
             if n in dealt and name != self.ctx.name
         )
+        self._allow(pool=pool, limit=limit)
+
+    def _allow(self, *, pool: LinkPool, limit: int) -> None:
+        """A part that shrinks does so at once, one that grows after a while."""
+        if limit > pool.limit and self.ctx.nowUs() - self.table_us < RISE_US:
+            # why: those that held what is ours now may not know it yet, and the cap is not to be passed meanwhile
+            self.rising, limit = True, pool.limit
         pool.allow(limit=limit)
 
     def _spot(self, *, site: str) -> Spot:
--- a/steps/boothsteps.py
+++ b/steps/boothsteps.py
@@ -21,6 +21,7 @@
 )
 
 from cinderstair.booth.dealing import Spot, dealt_copies, dealt_links
+from cinderstair.booth.forwarder import Forwarder
 from cinderstair.booth.freshness import Freshness
 from cinderstair.booth.link_pool import LinkPool
 from cinderstair.booth.reply import State
@@ -32,7 +33,9 @@
 from cinderstair.crier.pooled_sample import PooledSample
 from cinderstair.crier.relay_record import RelayAnswer, RelayedValue
 from cinderstair.pitch.position import Position
+from cinderstair.steward.booth_places import PLACES_KEY, BoothPlace, BoothPlaces
 from cinderstair.steward.service_lead import LeadState, ServiceLead, service_lead_key
+from cinderstair.steward.slots import SLOTS_KEY, Slots
 from cinderstair.vault.ballot import Ballot
 
 STATE_WORDS = {State.idle: "I", State.open: "T", State.failed: "E"}
@@ -460,6 +463,12 @@
     context.stage.call(call=lambda: context.pool.reopen(backend=announcement(name="b1")))
 
 
+@when("the pool may have no links any more")
+def when_no_links(context: Any) -> None:
+    context.stage.call(call=lambda: context.pool.allow(limit=0))
+    context.stage.advance(for_us=1_000)
+
+
 @when("the pool may have {limit:d} links")
 def when_limit(context: Any, limit: int) -> None:
     context.pool.limit = limit
@@ -820,6 +829,110 @@
     assert len(found[-1]) == kept, found[-1]
 
 
+def places_of(*, names: list[str]) -> bytes:
+    return BoothPlaces(places={n: BoothPlace(site=SITE, records=f"{n}:1") for n in names}).bytes()
+
+
+@then(
+    "with {cap:d} links for each backend and {booths:d} booths that can be reached the parts add up to {room:d}, "
+    "and all others know the holders"
+)
+def then_parts(context: Any, cap: int, booths: int, room: int) -> None:
+    names = [f"booth-{n}" for n in range(booths)]
+    pools: dict[str, dict[str, LinkPool]] = {}
+    for name in names:
+        ctx = context.stage.context(name=name)
+        told = ToldView(stage=context.stage)
+        told.view.ctx = ctx
+        router = Router(
+            ctx=ctx, view=told.view, dialer=FakeDialer(backends=context.backends), distance=lambda site: 0
+        )
+        router.forwarder = Forwarder(ctx=ctx)
+        told.tell(backends=tuple(announcement(name=each) for each in context.names))
+        told.slots(names=tuple(names))
+        told.tell(values={PLACES_KEY: places_of(names=names)})
+        told.plan(plan=plan(link_cap=cap))
+        pools[name] = router.pools
+    for backend in context.names:
+        holding = {name for name in names if pools[name][backend].limit}
+        assert sum(pools[name][backend].limit for name in names) == room
+        for name in names:
+            known = {holder.name for holder in pools[name][backend].holders}
+            assert known == holding - {name}, (name, known)
+
+
+@given('a booth that can be reached, one of {count:d} before "a", which takes {room:d} links')
+def given_reachable(context: Any, count: int, room: int) -> None:
+    stage = context.stage = Stage(context=context)
+    context.room = room
+    context.told = ToldView(stage=stage)
+    context.router = Router(
+        ctx=stage.ctx, view=context.told.view, dialer=FakeDialer(backends={}), distance=lambda site: 0
+    )
+    context.router.forwarder = Forwarder(ctx=stage.ctx)
+    context.told.tell(backends=(announcement(name="a"),))
+    context.told.lead(primary="a")
+    deal_ids(context=context, count=count)
+    context.told.plan(plan=plan(link_cap=room + CONTROL_LINKS))
+
+
+def deal_ids(*, context: Any, count: int, first: int = 1) -> None:
+    names = [f"booth-{n}" for n in range(first, first + count)]
+    context.named = names
+    if names:
+        context.told.slots(names=tuple(names))
+        context.told.tell(values={PLACES_KEY: places_of(names=names)})
+
+
+def own_part(*, context: Any, names: list[str]) -> int:
+    spot = Spot(SITE, SITE)
+    booths = [(n, spot) for n, _ in enumerate(names)]
+    dealt = dealt_links(booths=booths, backend="a", spot=spot, room=context.room)
+    return dealt.get(names.index("booth-1"), 0) if "booth-1" in names else 0
+
+
+@then('it may hold its part of "a"')
+def then_own_part(context: Any) -> None:
+    part = own_part(context=context, names=context.named)
+    assert context.router.pools["a"].limit == part, (context.router.pools["a"].limit, part)
+
+
+@then("it may hold what it held")
+def then_held(context: Any) -> None:
+    assert context.router.pools["a"].limit == context.held, context.router.pools["a"].limit
+
+
+@then('it may hold {count:d} links to "a"')
+def then_limit(context: Any, count: int) -> None:
+    assert context.router.pools["a"].limit == count, context.router.pools["a"].limit
+
+
+@when("the ids are dealt anew, so that it may hold {word}")
+def when_dealt_anew(context: Any, word: str) -> None:
+    now = own_part(context=context, names=context.named)
+    context.held = context.router.pools["a"].limit
+    for ahead in range(40):
+        for count in range(11, 40):
+            names = [*(f"other-{n}" for n in range(ahead)), *(f"booth-{n}" for n in range(1, count))]
+            part = own_part(context=context, names=names)
+            if (part > now) if word == "more" else (part < now):
+                context.named = names
+                context.told.tell(
+                    values={
+                        PLACES_KEY: places_of(names=names),
+                        SLOTS_KEY: Slots(names=tuple(enumerate(names))).bytes(),
+                    }
+                )
+                return
+    raise AssertionError(f"no such ids; it holds {now}")
+
+
+@given("no table of places")
+def given_no_places(context: Any) -> None:
+    context.told.tell(values={PLACES_KEY: BoothPlaces().bytes()})
+    context.stage.call(call=lambda: context.router.pools["a"].allow(limit=0))
+
+
 @when("the client vanishes")
 def when_vanishes(context: Any) -> None:
     context.stage.call(call=context.session.close)
