--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ...booth.router import CONTROL_LINKS
 from . import config_trials, few_links_trials, lead_trials, machine_trials, mixed_trials, shard_trials
 from .platform_verdict import PlatformVerdict
 from .platform_world import PlatformWorld
@@ -141,6 +142,8 @@
     )
     try:
         world.begin()
+        # why: what is dealt for the first time is taken a while after the last booth has its id and its place
+        world.advance(for_ms=3_000 if trial.booths > trial.max_links - CONTROL_LINKS else 0)
         count = trial.clients if clients is None else clients
         world.clients_begin(count=count, think_us=trial.think_us, transaction_share=trial.transaction_share)
         # why: where nothing is acknowledged yet, nothing can be lost
