--- a/src/cinderstair/fairground/platformsim/lead_trials.py
+++ b/src/cinderstair/fairground/platformsim/lead_trials.py
@@ -258,6 +258,15 @@
     world.advance(for_ms=2_500)
 
 
+def far_regions(world: PlatformWorld) -> None:
+    """A journey between regions takes 75 to 110 ms each way, and primaries crash in two of them."""
+    for service in world.services:
+        old = world.primary(service=service)
+        world.crash(backend=old, again_us=4_000_000)
+        moved(world=world, old=old.name, service=service)
+        world.advance(for_ms=3_000)
+
+
 def platform_troubled(world: PlatformWorld) -> None:
     """The platform's promotion call is down, or slow, while a primary is to be replaced."""
     world.advance(for_ms=1_000)
--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -8,6 +8,7 @@
 from .platform_verdict import PlatformVerdict
 from .platform_world import PlatformWorld
 from .repository import see_adapter
+from .stream_fabric import REGION_US
 
 ALWAYS = ("WIRE", "UNASKED", "ROUTE", "MIXED", "PINNED", "TWICE", "STALE", "CONFIG")
 MOVE = ("LOST", "ONE")
@@ -24,6 +25,7 @@
     transaction_share: float = 0.3
     booths: int = 3
     max_links: int = 60
+    region_us: int = REGION_US
 
 
 TRIALS: dict[str, Trial] = {
@@ -46,6 +48,7 @@
         Trial(lead_trials.booth_cut_off_unconfirmed, ("ONE", "REFUSED"), waits_for=0),
         Trial(lead_trials.primary_cut),
         Trial(lead_trials.platform_troubled, (*MOVE, "REFUSED")),
+        Trial(lead_trials.far_regions, region_us=75_000),
         Trial(lead_trials.candidate_crash, (*MOVE, "REFUSED")),
         Trial(machine_trials.guildhall_killed),
         Trial(machine_trials.backends_unheard),
@@ -138,6 +141,7 @@
         waits_for=trial.waits_for,
         booths=trial.booths,
         max_links=trial.max_links,
+        region_us=trial.region_us,
         log_level=log_level,
     )
     try:
--- a/src/cinderstair/fairground/platformsim/platform_world.py
+++ b/src/cinderstair/fairground/platformsim/platform_world.py
@@ -24,7 +24,7 @@
 from .stand_in_operator import StandInOperator
 from .stand_in_platform import StandInPlatform
 from .stand_in_service import StandInService
-from .stream_fabric import StreamFabric
+from .stream_fabric import REGION_US, StreamFabric
 from .trouble import Trouble
 
 REGIONS = {"north-1": "north", "north-2": "north", "south-1": "south"}
@@ -52,6 +52,7 @@
         waits_for: int = 1,
         promote_us: int = 500_000,
         max_links: int = 60,
+        region_us: int = REGION_US,
         log_level: int = logging.CRITICAL,
     ) -> None:
         self.seed = seed
@@ -59,6 +60,7 @@
         self.loop.set_exception_handler(self._wrong)
         self.wires = PlatformWires(loop=self.loop, luck=self.luck_for(name="wires"))
         self.fabric = StreamFabric(loop=self.loop, wires=self.wires, luck=self.luck_for(name="fabric"))
+        self.fabric.region_us = self.wires.slowUs = region_us
         self.luck = self.luck_for(name="world")
         self.log_level = log_level
         self.booths = [f"booth-{n}" for n in range(booths)]
--- a/src/cinderstair/fairground/platformsim/platformsim.feature
+++ b/src/cinderstair/fairground/platformsim/platformsim.feature
@@ -24,6 +24,7 @@
       | release_primary_copies_deaf | 93    | 1    |
       | leaving_primary_crash       | 93    | 2    |
       | candidate_crash             | 85    | 1    |
+      | far_regions                 | 85    | 3    |
       | primary_cut                 | 90    | 1    |
       | platform_troubled           | 90    | 1    |
 
--- a/src/cinderstair/fairground/platformsim/stream_fabric.py
+++ b/src/cinderstair/fairground/platformsim/stream_fabric.py
@@ -30,6 +30,7 @@
         self.ends: dict[str, dict[SimTransport, None]] = {}
         self.refusing: set[tuple[str, str]] = set()
         self.dialled = 0
+        self.region_us = REGION_US
 
     @property
     def now_us(self) -> int:
@@ -52,7 +53,7 @@
     def delay_s(self, *, source: str, target: str) -> float:
         base_us = NEAR_US
         if self.regions.get(source) != self.regions.get(target):
-            base_us = REGION_US
+            base_us = self.region_us
         elif self.zones.get(source) != self.zones.get(target):
             base_us = ZONE_US
         lag_us = self.wires.lagsUs.get(source, 0) + self.wires.lagsUs.get(target, 0)
