A backend that takes over a primary's log and address, and leads, is the lead

Cause: a primary that left while no copy was there ended, and its log passed to a new backend at its address, which led. The duty found the old one gone and set out to pause every other backend; the new one leads and takes no pause, so the move was never fenced and the service stood still until the old primary was forgotten. Ruled out: fewer pauses, since two copies of three may lack an acknowledged commit; waiting for the copies, which were back and paused already. Change: where the old primary has said goodbye and a backend at its address leads in its term or a later one, that one is placed; nobody else need be paused, since its log is the old primary's own.

--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -40,6 +40,7 @@
         Trial(lead_trials.release_primary, ("LOST", "ONE", "DRAIN")),
         Trial(lead_trials.leaving_primary_crash, ("LOST",)),
         Trial(lead_trials.release_primary_copies_deaf, ("LOST",)),
+        Trial(lead_trials.release_primary_alone),
         Trial(lead_trials.release_both, ("LOST", "DRAIN")),
         Trial(lead_trials.release_copies, ("DRAIN",)),
         Trial(lead_trials.holder_killed, MOVE),
--- a/src/cinderstair/steward/promotion_duty.py
+++ b/src/cinderstair/steward/promotion_duty.py
@@ -329,6 +329,8 @@
             if stopped is None:
                 return
             lead, fenced = stopped
+        elif heir := await self._heir(lead=lead, old=old, others=others):
+            fenced = heir
         elif any(each.state == READY for each in others):
             fenced = await self._fence(service=service, lead=lead, others=others)
         else:
@@ -397,6 +399,19 @@
         best = max(sorted(full), key=lambda name: full[name].received) if full else lead.primary
         return lead, Fenced(term=term, best=best, position=max(fence, full[best].received) if full else fence)
 
+    async def _heir(
+        self, *, lead: ServiceLead, old: Announcement | None, others: list[Announcement]
+    ) -> Fenced | None:
+        """Who has a primary's log from it, at its address, and leads with it; None where there is nobody such."""
+        if old is None or old.state != GONE:
+            return None
+        # why: it can't be paused, since it leads; and it need not be, since all that was acknowledged is in its log
+        heirs = [each for each in others if each.address == old.address and each.leads and each.state == READY]
+        for name, state in (await self._states(members=heirs)).items():
+            if state.leads and state.term >= lead.term:
+                return Fenced(term=state.term, best=name, position=state.received)
+        return None
+
     async def _fence(self, *, service: Service, lead: ServiceLead, others: list[Announcement]) -> Fenced | None:
         """Pauses copies until the old primary can have nothing confirmed; None where too few can be paused."""
         term = max(lead.term, self.terms.get(service.name, 0)) + 1
