An emptying primary is served for as long as the platform's own bound lets it

Cause: booths served a primary that empties for 5 s after they heard of it, whatever drain_ms was; below some 5 s that is a request after the time was up (DRAIN). Ruled out: leaving at once, since a primary whose place nobody can take yet would be an outage of its own making. Change: drain_ms is read from the settings file (7 s where it isn't told); a booth serves for all of it but 2 s, or for half of it where that is more. With 7 s nothing changes. The referee and the stand-in backends take the same figure.

--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -13,7 +13,7 @@
 from .link import Dialer
 from .place_teller import PlaceTeller
 from .relayed_view import RelayedView
-from .router import Router
+from .router import DRAIN_US, Router
 from .session import Session
 
 TEND_US = 200_000
@@ -33,12 +33,19 @@
         distance: Callable[[str], int],
         records: str = "",
         region: Callable[[str], str] = lambda site: site,
+        drain_us: int = DRAIN_US,
     ) -> None:
         self.ctx = ctx
         self.view = RelayedView(ctx=ctx, site=site, seeds=seeds, distance=distance)
         self.sessions: set[Session] = set()
         self.router = Router(
-            ctx=ctx, view=self.view, dialer=dialer, distance=distance, busy=self._busy, region=region
+            ctx=ctx,
+            view=self.view,
+            dialer=dialer,
+            distance=distance,
+            busy=self._busy,
+            region=region,
+            drain_us=drain_us,
         )
         self.place = PlaceTeller(ctx=ctx, view=self.view, place=BoothPlace(site=site, records=records))
         self.records = records
--- a/src/cinderstair/booth/router.feature
+++ b/src/cinderstair/booth/router.feature
@@ -194,6 +194,21 @@
     When the router tends for 500 ms
     Then "a" is open to new statements: no
 
+  Scenario Outline: A primary that has <drain> ms to empty is served for <served> ms
+    Given a booth, where "a" leads and "b" are copies, all at 3.5
+    And backends have <drain> ms to empty
+    When "a" says that it is emptying
+    And the router tends for <served> ms
+    Then "a" is open to new statements: yes
+    When the router tends for 300 ms
+    Then "a" is open to new statements: no
+
+    Examples:
+      | drain | served |
+      | 7000  | 4900   |
+      | 3500  | 1700   |
+      | 2000  | 900    |
+
   Scenario: A primary that empties is shut as soon as another has its place
     Given a booth, where "a" leads and "b" are copies, all at 3.5
     When "a" says that it is emptying
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -36,7 +36,7 @@
 ASK_SPAN_US = 600_000
 PRIMARY_READS = 3
 WANTED_FOR_US = 4_000_000
-LEAVE_US = 5_000_000
+DRAIN_US, HEARSAY_US = 7_000_000, 2_000_000
 LAPSE_US = 300_000
 BEGIN_US = 3_000_000
 SILENT_LEFT_US = 1_000_000
@@ -61,6 +61,7 @@
         distance: Callable[[str], int],
         busy: Callable[[frozenset[str]], bool] = lambda databases: False,
         region: Callable[[str], str] = lambda site: site,
+        drain_us: int = DRAIN_US,
     ) -> None:
         self.ctx = ctx
         self.view = view
@@ -74,6 +75,7 @@
         self.rising = False
         self.unplaced = False
         self.began_us = ctx.nowUs()
+        self.drain_us = drain_us
         self.pools: dict[str, LinkPool] = {}
         self.fresh: dict[str, Freshness] = {}
         self.shares: dict[str, tuple[str, ...]] = {}
@@ -231,6 +233,11 @@
             dealt = self.deals[(spots, room)] = dealt_copies(booths=booths, copies=spots, room=room)
         number = dealt.get(booth_id)
         return "" if number is None else copies[number]
+    @property
+    def leave_us(self) -> int:
+        """How long an emptying primary is served after this booth heard of it."""
+        # why: the time that it has began when the first guildhall heard, and what was sent in time must arrive in it
+        return max(self.drain_us // 2, self.drain_us - HEARSAY_US)
 
     def _obey(self, *, name: str, leads: bool) -> None:
         """A backend that empties gets nothing new; a primary serves on until its place is taken, or late."""
@@ -241,7 +248,7 @@
                 pool.reopen(backend=pool.backend)
             return
         since_us = self.leaving_us.setdefault(name, self.ctx.nowUs())
-        if not pool.closed and (not leads or self.ctx.nowUs() - since_us > LEAVE_US):
+        if not pool.closed and (not leads or self.ctx.nowUs() - since_us > self.leave_us):
             pool.shut()
 
     def route(self, *, database: str) -> DatabaseRoute | None:
--- a/src/cinderstair/fairground/platformsim/beat_sender.py
+++ b/src/cinderstair/fairground/platformsim/beat_sender.py
@@ -5,7 +5,7 @@
 import random
 
 from .http_caller import http_call
-from .referee import DRAIN_US, Referee
+from .referee import Referee
 from .sim_streams import SimStreams
 from .stand_in_backend import StandInBackend
 
@@ -114,7 +114,9 @@
             await asyncio.sleep(0.05)
         acked_us = self.referee.drain.acked_us.get(backend.name)
         if acked_us is not None:
-            await asyncio.sleep(max(0, acked_us + DRAIN_US + LINGER_US - backend.now_us) / 1_000_000)
+            await asyncio.sleep(
+                max(0, acked_us + self.referee.drain.drain_us + LINGER_US - backend.now_us) / 1_000_000
+            )
         if backend.up:
             await self._call(method="DELETE", body=b"")
             self.referee.drain.gone_us[backend.name] = backend.now_us
--- a/src/cinderstair/fairground/platformsim/lead_trials.py
+++ b/src/cinderstair/fairground/platformsim/lead_trials.py
@@ -129,6 +129,18 @@
     world.advance(for_ms=3_000)
 
 
+def release_primary_soon(world: PlatformWorld) -> None:
+    """A primary that has little time to leave, while its copies are dark for longer than that."""
+    world.advance(for_ms=world.luck.randrange(300, 1_300))
+    old = world.primary()
+    for copy in world.copies():
+        world.crash(backend=copy, dark=True, again_us=5_000_000)
+    world.advance(for_ms=300)
+    world.release(backend=old)
+    moved(world=world, old=old.name)
+    world.advance(for_ms=3_000)
+
+
 def release_primary_alone(world: PlatformWorld) -> None:
     """A primary leaves while its copies are dark, and ends before they are back; its log passes to a new backend."""
     world.advance(for_ms=world.luck.randrange(300, 1_300))
--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -7,6 +7,7 @@
 from . import config_trials, few_links_trials, lead_trials, machine_trials, mixed_trials, shard_trials
 from .platform_verdict import PlatformVerdict
 from .platform_world import PlatformWorld
+from .referee import DRAIN_US
 from .repository import see_adapter
 from .stream_fabric import REGION_US
 
@@ -26,6 +27,7 @@
     booths: int = 3
     max_links: int = 60
     region_us: int = REGION_US
+    drain_us: int = DRAIN_US
 
 
 TRIALS: dict[str, Trial] = {
@@ -40,6 +42,7 @@
         Trial(lead_trials.release_primary, ("LOST", "ONE", "DRAIN")),
         Trial(lead_trials.leaving_primary_crash, ("LOST",)),
         Trial(lead_trials.release_primary_copies_deaf, ("LOST",)),
+        Trial(lead_trials.release_primary_soon, drain_us=2_500_000),
         Trial(lead_trials.release_primary_alone),
         Trial(lead_trials.release_both, ("LOST", "DRAIN")),
         Trial(lead_trials.release_copies, ("DRAIN",)),
@@ -143,6 +146,7 @@
         booths=trial.booths,
         max_links=trial.max_links,
         region_us=trial.region_us,
+        drain_us=trial.drain_us,
         log_level=log_level,
     )
     try:
--- a/src/cinderstair/fairground/platformsim/platform_world.py
+++ b/src/cinderstair/fairground/platformsim/platform_world.py
@@ -16,7 +16,7 @@
 from .beat_sender import BeatSender
 from .platform_client import PlatformClient
 from .platform_wires import PlatformWires
-from .referee import APPLY_US, Referee
+from .referee import APPLY_US, DRAIN_US, Referee
 from .route_prober import RouteProber
 from .sim_streams import SimStreams
 from .stand_in_backend import StandInBackend
@@ -53,6 +53,7 @@
         promote_us: int = 500_000,
         max_links: int = 60,
         region_us: int = REGION_US,
+        drain_us: int = DRAIN_US,
         log_level: int = logging.CRITICAL,
     ) -> None:
         self.seed = seed
@@ -81,7 +82,7 @@
         self.clients: list[PlatformClient] = []
         self.expected: set[str] = set()
         self.replaced = 0
-        self.referee = Referee(in_touch=lambda name: self.in_touch(name=name))
+        self.referee = Referee(in_touch=lambda name: self.in_touch(name=name), drain_us=drain_us)
         self.referee.booths = len(self.booths)
         for number, name in enumerate([*self.guildhalls, *self.booths]):
             self._place(name=name, zone=ZONES[number % len(ZONES)])
@@ -223,6 +224,7 @@
             losses=1,
             beat_every_us=1_000_000,
             grace_us=GRACE_US,
+            drain_us=self.referee.drain.drain_us,
         )
 
     def start(self, *, name: str) -> None:
--- a/src/cinderstair/fairground/platformsim/platformsim.feature
+++ b/src/cinderstair/fairground/platformsim/platformsim.feature
@@ -20,6 +20,7 @@
       | copy_crash                  | 98    | 1    |
       | release_primary             | 97    | 2    |
       | release_copies              | 99    | 1    |
+      | release_primary_soon        | 90    | 3    |
       | release_primary_alone       | 90    | 3    |
       | release_both                | 97    | 1    |
       | release_primary_copies_deaf | 93    | 1    |
--- a/src/cinderstair/fairground/platformsim/referee.py
+++ b/src/cinderstair/fairground/platformsim/referee.py
@@ -37,7 +37,7 @@
 class Referee:
     """`in_touch` tells whether a machine is untroubled, and has been for a while."""
 
-    def __init__(self, *, in_touch: Callable[[str], bool]) -> None:
+    def __init__(self, *, in_touch: Callable[[str], bool], drain_us: int = DRAIN_US) -> None:
         self.in_touch = in_touch
         self.wire = WireChecker()
         self.unasked = UnaskedChecker()
@@ -49,7 +49,7 @@
         self.stale = StaleChecker()
         self.one = OneChecker()
         self.lost = LostChecker()
-        self.drain = DrainChecker(drain_us=DRAIN_US)
+        self.drain = DrainChecker(drain_us=drain_us)
         self.config = ConfigChecker(apply_us=APPLY_US, step_back_us=STEP_BACK_US)
         self.shard = ShardChecker()
         self.cap = CapChecker()
--- a/steps/boothsteps.py
+++ b/steps/boothsteps.py
@@ -748,6 +748,11 @@
     context.stage.call(call=context.router.pools[name].blame)
 
 
+@given("backends have {drain_ms:d} ms to empty")
+def given_drain(context: Any, drain_ms: int) -> None:
+    context.router.drain_us = drain_ms * 1_000
+
+
 @when("the router tends for {wait_ms:d} ms")
 def when_tends(context: Any, wait_ms: int) -> None:
     for _ in range(wait_ms // 100):
--- a/steps/citizensteps.py
+++ b/steps/citizensteps.py
@@ -298,6 +298,7 @@
         "machines = 2",
         "[bounds]",
         "grace_s = 4.5",
+        "drain_ms = 3500",
         "[provider_api]",
         'address = "10.9.0.5:5009"',
     ]
