--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -77,7 +77,8 @@
     def ready(self) -> bool:
         """Whether new clients should come here."""
         known = self.view.plan is not None and self.ctx.nowUs() - self.view.as_of_us < READY_AGE_US
-        return known and not self.draining
+        # why: where guildhalls answer and know nothing, no other booth would serve any better
+        return known and not self.draining and not self.view.alone_us
 
     def _tend(self) -> None:
         self.router.tend()
--- a/src/cinderstair/booth/relayed_view.py
+++ b/src/cinderstair/booth/relayed_view.py
@@ -35,6 +35,8 @@
 OTHERS_WAIT_US = 50_000
 # why: no setting, since whoever moves a lead waits for all views by its own figure, so all must have the same
 LEASE_US = 1_000_000
+# why: longer than what it knows may count, and than two questions that went astray
+ALONE_US = 1_200_000
 
 
 def gone(*, entry: RelayedBackend) -> bool:
@@ -62,6 +64,7 @@
         self.source = 0
         self.edition = 0
         self.as_of_us = -LEASE_US
+        self.answered_us = ctx.nowUs()
         self.ballots: dict[str, Ballot] = {}
         self.plan: ServicePlan | None = None
         self.slots = Slots()
@@ -86,6 +89,11 @@
     def current(self) -> bool:
         return self.ctx.nowUs() < self.as_of_us + LEASE_US
 
+    @property
+    def alone_us(self) -> int:
+        """For how long no guildhall at all has answered, past the time in which that may be chance."""
+        return max(0, self.ctx.nowUs() - self.answered_us - ALONE_US)
+
     def hurry(self) -> None:
         """Asks at once rather than at the next turn."""
         self._hurry.set()
@@ -181,6 +189,7 @@
             self._away[address] = self.ctx.nowUs() + 2_000_000
             return False
         asked_us, answer = result.ok
+        self.answered_us = self.ctx.nowUs()
         if answer.age_us >= LEASE_US:
             # why: a guildhall that is cut off from the other vaults knows nothing current; another one may
             self._away[address] = self.ctx.nowUs() + 500_000
--- a/src/cinderstair/fairground/platformsim/machine_trials.py
+++ b/src/cinderstair/fairground/platformsim/machine_trials.py
@@ -65,6 +65,16 @@
     world.advance(for_ms=1_000)
 
 
+def booth_alone(world: PlatformWorld) -> None:
+    """A booth reaches clients and backends, but no guildhall, for far longer than what it knows may count."""
+    world.advance(for_ms=1_000)
+    world.cut(ones=[world.luck.choice(world.booths)], others=world.guildhalls)
+    world.advance(for_ms=20_000)
+    world.heal()
+    back(world=world)
+    world.advance(for_ms=2_000)
+
+
 def booth_frozen_in_move(world: PlatformWorld) -> None:
     """A booth stands still while a lead moves, and goes on where it was."""
     world.advance(for_ms=1_000)
--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -59,6 +59,7 @@
         Trial(machine_trials.guildhall_wiped),
         Trial(machine_trials.booths_killed),
         Trial(machine_trials.booths_frozen),
+        Trial(machine_trials.booth_alone, clients=18),
         Trial(machine_trials.booth_frozen_in_move),
         Trial(machine_trials.booths_stopped, ("LOST",)),
         Trial(machine_trials.guildhalls_stopped, ("LOST",)),
--- a/src/cinderstair/fairground/platformsim/platformsim.feature
+++ b/src/cinderstair/fairground/platformsim/platformsim.feature
@@ -47,6 +47,7 @@
       | booths_killed      | 93    | 1    |
       | booths_frozen      | 93    | 1    |
       | booths_stopped     | 99    | 1    |
+      | booth_alone        | 98    | 2    |
       | all_killed         | 90    | 2    |
       | all_powered_off    | 90    | 1    |
 
