--- a/steps/citizensteps.py
+++ b/steps/citizensteps.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import re
 import subprocess
 import sys
 import tempfile
+import tomllib
 from collections import deque
 from pathlib import Path
 from typing import Any
@@ -1097,3 +1099,18 @@
     environment = {key: value for key, value in os.environ.items() if key != "CINDERSTAIR_SETTINGS"}
     done = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False, env=environment)
     assert done.returncode == code and words in done.stderr, (done.returncode, done.stderr)
+
+
+@then("the deploy file puts {count:d} guildhalls on zones of {machines} machines with disks")
+def then_deploys(context: Any, count: int, machines: str) -> None:
+    role = tomllib.loads((REPOSITORY / "deploy" / "system.toml").read_text())["roles"]["guildhall"]
+    zones = [int(each) for each in machines.split(", ")]
+    # why: a share is rounded up in each zone, and no zone has more than its machines
+    placed = sum(min(zone, role["count"]) if "count" in role else math.ceil(zone * role["share"]) for zone in zones)
+    assert placed == count, placed
+    context.placed = placed
+
+
+@then("a majority of them outlives the loss of {losses:d}")
+def then_outlive(context: Any, losses: int) -> None:
+    assert (context.placed - 1) // 2 >= losses, context.placed
