A vault's disk and desks open apart from its network

Cause: what explores small cases drives a vault's vote without its greetings and its crowd, and start() did all at once. Ruled out: a second start beside it, which would drift from the first. Before and after: behaviour as it was; vault/register.feature passes. Conclusion: open() reads the disk and opens the desks, start() goes on from there.

--- a/src/cinderstair/vault/vault.py
+++ b/src/cinderstair/vault/vault.py
@@ -44,7 +44,8 @@
         self.missingUs: dict[str, int] = {}
         self.strange_since_us: int | None = None
 
-    async def start(self) -> Result[None, Fault]:
+    def open(self) -> Result[None, Fault]:
+        """Reads the disk, or marks a blank one with a new identity, and opens the desks of its vote."""
         opened = Store(disk=self.ctx.disk).open()
         if opened.is_error():
             return Error(opened.error)
@@ -69,6 +70,13 @@
             (HELLO, self._hello),
         ):
             self.desk.open(kind=kind, answer=answer)
+        return Ok(None)
+
+    async def start(self) -> Result[None, Fault]:
+        opened = self.open()
+        if opened.is_error():
+            return opened
+        assert self.me is not None
         # why: the seeds are vaults, so it is among them that the daemons find one another
         me = Member(
             name=self.settings.name,
