Grants of a duty count against the majority of the roster under which they were given

Cause: a seeker asked the voters of one roster, and compared their grants with the majority of the roster it knew when the answers were in. A smaller one that an answer brought meanwhile made a minority's grants enough: two of five, or two of four once one voter has left. Ruled out: a grant under an old roster as such (its majority meets the next roster's, whose vaults still hold it). Before: the scenario held the duty with two of five grants. After: not held, and what was granted is given back. Conclusion: whether it is enough is judged by the same roster that was asked.

--- a/src/cinderstair/vault/lease.py
+++ b/src/cinderstair/vault/lease.py
@@ -38,28 +38,28 @@
     def held(self) -> bool:
         return self.ctx.nowUs() < self.untilUs
 
-    async def _ask(self, *, lengthUs: int) -> tuple[int, bool]:
-        """How many vaults have granted it, and whether any may have without our hearing of it."""
+    async def _ask(self, *, lengthUs: int) -> tuple[bool, list[bytes], int]:
+        """Whether a majority granted it, what was answered, and how many were asked."""
         roster = self.register.roster
         if roster is None:
-            return 0, False
+            return False, [], 0
         packer = Packer().u8(value=LEASE).u32(value=roster.epoch).text(value=self.duty)
         body = packer.u64(value=self.register.proposer).u64(value=lengthUs).bytes()
 
+        # why: a roster that is heard of meanwhile may be smaller, and these are not its voters' grants
         def enough(answers: list[bytes]) -> bool:
             return sum(answer[0] == OK for answer in answers) >= roster.majority
 
         answers = await self.register.poll(roster=roster, body=body, enough=enough)
-        return sum(answer[0] == OK for answer in answers), len(answers) < len(roster.voters)
+        return enough(answers), answers, len(roster.voters)
 
     async def seek(self) -> bool:
         """Takes or renews the lease; a minority's grants are given back at once."""
         startUs = self.ctx.nowUs()
-        granted, unheard = await self._ask(lengthUs=LENGTH_US)
-        roster = self.register.roster
-        if roster is not None and granted >= roster.majority:
+        granted, answers, asked = await self._ask(lengthUs=LENGTH_US)
+        if granted:
             self.untilUs = startUs + LENGTH_US - MARGIN_US
-        elif not self.held and (granted or unheard):
+        elif not self.held and (len(answers) < asked or any(answer[0] == OK for answer in answers)):
             # why: two that each hold a minority would shut each other out until both ran out
             await self._ask(lengthUs=0)
         # why: seekers in step would split the vaults' grants among them again and again, so each waits its own time;
--- a/src/cinderstair/vault/register.feature
+++ b/src/cinderstair/vault/register.feature
@@ -36,3 +36,8 @@
     Given 5 vaults and 2 proposers, with seed 13
     When vault-0 is struck off while the change that strikes off vault-1 writes the keys again
     Then the second change is refused as overtaken, and the roster lacks vault-0 alone
+
+  Scenario: Grants count against the majority of the roster under which they were given
+    Given 5 vaults and 2 proposers, with seed 16
+    When two of five vaults grant a duty, and a roster of three is heard of meanwhile
+    Then it is not held
--- a/steps/registersteps.py
+++ b/steps/registersteps.py
@@ -12,6 +12,7 @@
 from cinderstair.vault.cell import Cell
 from cinderstair.vault.lease import Lease
 from cinderstair.vault.register import Register
+from cinderstair.vault.roster import Roster
 from cinderstair.vault.succession import without
 
 
@@ -210,3 +211,27 @@
     assert world.run(work=register.findRoster())
     names = [voter.name for voter in register.roster.voters]
     assert names == ["vault-1", "vault-2", "vault-3", "vault-4"], names
+
+
+@when("two of five vaults grant a duty, and a roster of three is heard of meanwhile")
+def when_fewer(context: Any) -> None:
+    world, register = context.world, context.registers[0]
+    world.run(work=register.findRoster())
+    world.advance(forUs=5_000_000)
+    world.cut(ones=["vault-2", "vault-3", "vault-4"], others=["proposer-0"])
+    context.lease = Lease(ctx=register.ctx, register=register, duty="duty")
+    poll = register.poll
+
+    async def polled(**asked: Any) -> Any:
+        answers = await poll(**asked)
+        roster = register.roster
+        register.learnRoster(roster=Roster(epoch=roster.epoch + 2, voters=roster.voters[2:]))
+        return answers
+
+    register.poll = polled
+    world.run(work=context.lease.seek())
+
+
+@then("it is not held")
+def then_not_held(context: Any) -> None:
+    assert not context.lease.held
