Each return of a duty closes a number of its holder, so that a late one frees nothing

Cause: a vault knew a holder by one number for good. The word that gave a duty back, or a minority's grants, could arrive after the same daemon had taken the duty again, and freed it at that vault: the next seeker got it while the holder believed in it. So could one that overtook the answers to a seeking under way. Records come in order on one connection, but a connection is dialled anew after a second of silence, and what waits in the old one of a frozen vault may be read after what came by the new one. Ruled out: the margins and the clocks; waiting for the return's answer (it may never come). Conclusion: after each return a daemon seeks under its next number, which no word under way names. What it costs: a vault that the return does not reach is closed to that daemon too until its grant runs out, 3 s at most.

--- a/src/cinderstair/vault/lease.py
+++ b/src/cinderstair/vault/lease.py
@@ -28,6 +28,9 @@
         self.duty = duty
         self.untilUs = 0
         self.againUs = 0
+        # why: the vaults know a holder by its number, and a new one after each return keeps a return that comes late
+        # from freeing what was taken again since
+        self.holder = register.proposer
 
     @property
     def due(self) -> bool:
@@ -38,13 +41,13 @@
     def held(self) -> bool:
         return self.ctx.nowUs() < self.untilUs
 
-    async def _ask(self, *, lengthUs: int) -> tuple[bool, list[bytes], int]:
+    async def _ask(self, *, holder: int, lengthUs: int) -> tuple[bool, list[bytes], int]:
         """Whether a majority granted it, what was answered, and how many were asked."""
         roster = self.register.roster
         if roster is None:
             return False, [], 0
         packer = Packer().u8(value=LEASE).u32(value=roster.epoch).text(value=self.duty)
-        body = packer.u64(value=self.register.proposer).u64(value=lengthUs).bytes()
+        body = packer.u64(value=holder).u64(value=lengthUs).bytes()
 
         # why: a roster that is heard of meanwhile may be smaller, and these are not its voters' grants
         def enough(answers: list[bytes]) -> bool:
@@ -53,15 +56,20 @@
         answers = await self.register.poll(roster=roster, body=body, enough=enough)
         return enough(answers), answers, len(roster.voters)
 
+    async def _give_back(self) -> None:
+        holder, self.holder = self.holder, self.holder + 1
+        await self._ask(holder=holder, lengthUs=0)
+
     async def seek(self) -> bool:
         """Takes or renews the lease; a minority's grants are given back at once."""
-        startUs = self.ctx.nowUs()
-        granted, answers, asked = await self._ask(lengthUs=LENGTH_US)
-        if granted:
+        startUs, holder = self.ctx.nowUs(), self.holder
+        granted, answers, asked = await self._ask(holder=holder, lengthUs=LENGTH_US)
+        # why: what was given back meanwhile may be another's by now
+        if granted and holder == self.holder:
             self.untilUs = startUs + LENGTH_US - MARGIN_US
         elif not self.held and (len(answers) < asked or any(answer[0] == OK for answer in answers)):
             # why: two that each hold a minority would shut each other out until both ran out
-            await self._ask(lengthUs=0)
+            await self._give_back()
         # why: seekers in step would split the vaults' grants among them again and again, so each waits its own time;
         # the more they are, the longer, since it is the first of them that counts
         mostUs = SEEK_MOST_US * min(MOST_TIMES, max(1, self.seekers() // 3))
@@ -71,4 +79,4 @@
 
     async def drop(self) -> None:
         self.untilUs = 0
-        await self._ask(lengthUs=0)
+        await self._give_back()
--- a/src/cinderstair/vault/register.feature
+++ b/src/cinderstair/vault/register.feature
@@ -37,6 +37,16 @@
     When vault-0 is struck off while the change that strikes off vault-1 writes the keys again
     Then the second change is refused as overtaken, and the roster lacks vault-0 alone
 
+  Scenario: The word of a duty's return that comes late frees nothing that was taken since
+    Given 5 vaults and 2 proposers, with seed 14
+    When a duty is given back and taken again, and the word of its return comes late
+    Then one holds it, and not both, when the other has sought it too
+
+  Scenario: A duty that is given back while it is still being sought is not held
+    Given 5 vaults and 2 proposers, with seed 15
+    When a duty is given back while the answers to its seeking are on their way
+    Then it is not held
+
   Scenario: Grants count against the majority of the roster under which they were given
     Given 5 vaults and 2 proposers, with seed 16
     When two of five vaults grant a duty, and a roster of three is heard of meanwhile
--- a/steps/registersteps.py
+++ b/steps/registersteps.py
@@ -1,13 +1,17 @@
 """Steps for the register and its leases."""
 
+import asyncio
 from typing import Any
 
 from behave import given, then, when
 from common import newWorld
-from expression import Ok
+from expression import Error, Ok
 
 from cinderstair.fairground.virtualloop import Boot
+from cinderstair.pitch.desks import LEASE
+from cinderstair.pitch.fault import Fault
 from cinderstair.pitch.kind import Kind
+from cinderstair.pitch.speech import unwrapped
 from cinderstair.vault.ballot import Ballot
 from cinderstair.vault.cell import Cell
 from cinderstair.vault.lease import Lease
@@ -213,6 +217,63 @@
     assert names == ["vault-1", "vault-2", "vault-3", "vault-4"], names
 
 
+def heldBack(*, register: Register, test: Any) -> list[tuple[str, bytes]]:
+    """Takes the records that pass the test out of a proposer's network, and keeps them."""
+    kept: list[tuple[str, bytes]] = []
+    ask = register.ctx.net.ask
+
+    async def asked(*, address: str, body: bytes, waitUs: int) -> Any:
+        if test(body):
+            kept.append((address, body))
+            return Error(Fault(kind=Kind.wireUnsure, why="held back"))
+        return await ask(address=address, body=body, waitUs=waitUs)
+
+    register.ctx.net.ask = asked
+    return kept
+
+
+def isReturn(body: bytes) -> bool:
+    kind, length = unwrapped(data=body)[1][0], int.from_bytes(body[-8:], "big")
+    return kind == LEASE and length == 0
+
+
+@when("a duty is given back and taken again, and the word of its return comes late")
+def when_late_return(context: Any) -> None:
+    world, (first, second) = context.world, context.registers
+    for register in (first, second):
+        world.run(work=register.findRoster())
+    context.leases = [Lease(ctx=register.ctx, register=register, duty="duty") for register in (first, second)]
+    # why: vaults that have just started grant nothing yet
+    world.advance(forUs=5_000_000)
+    ask = first.ctx.net.ask
+    late = heldBack(register=first, test=isReturn)
+    assert world.run(work=context.leases[0].seek())
+    world.run(work=context.leases[0].drop())
+    world.run(work=context.leases[0].seek())
+    assert len(late) >= 5
+    for address, body in list(late):
+        world.run(work=ask(address=address, body=body, waitUs=500_000))
+
+
+@then("one holds it, and not both, when the other has sought it too")
+def then_alone_still(context: Any) -> None:
+    context.world.run(work=context.leases[1].seek())
+    assert sum(lease.held for lease in context.leases) == 1
+
+
+@when("a duty is given back while the answers to its seeking are on their way")
+def when_back_at_once(context: Any) -> None:
+    world, register = context.world, context.registers[0]
+    world.run(work=register.findRoster())
+    world.advance(forUs=5_000_000)
+    context.lease = Lease(ctx=register.ctx, register=register, duty="duty")
+
+    async def both() -> None:
+        await asyncio.gather(context.lease.seek(), context.lease.drop())
+
+    world.run(work=both())
+
+
 @when("two of five vaults grant a duty, and a roster of three is heard of meanwhile")
 def when_fewer(context: Any) -> None:
     world, register = context.world, context.registers[0]
