A second voter leaves only when no lease rests on the first any more

Cause: keys are written again before each change of the roster, leases are not. A replacement that was cut short between its two changes, followed within a lease's time by another, took two voters away: the majority that had granted a duty and the majority of the roster two changes on need not meet. Found by exploring three voters, where a alone granted the duty that b and c had granted before they left; with five, two lost disks do it. Ruled out: the joining vault (it grants nothing for 4 s); a replacement after a whole one (the roster lacks one voter at most then, and its majority meets the older one in voters that stayed). Conclusion: who takes a voter off a roster that already lacks one first asks a majority, so that no majority of an earlier roster grants any more, and then waits for the longest lease, 4 s. Other replacements wait for nothing.

--- a/src/cinderstair/vault/register.feature
+++ b/src/cinderstair/vault/register.feature
@@ -51,3 +51,8 @@
     Given 5 vaults and 2 proposers, with seed 16
     When two of five vaults grant a duty, and a roster of three is heard of meanwhile
     Then it is not held
+
+  Scenario: A second voter leaves only when no duty rests on the first any more
+    Given 5 vaults and 3 proposers, with seed 17
+    When a duty is taken from vaults 0 to 2, vaults 0 and 1 die, and a replacement of each begins
+    Then one holds it, and not both, when the other has sought it too
--- a/src/cinderstair/vault/succession.py
+++ b/src/cinderstair/vault/succession.py
@@ -7,6 +7,7 @@
 from ..pitch.context import Context
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
+from .acceptor import LONGEST_LEASE_US
 from .register import Register
 from .roster import Roster, Voter
 
@@ -26,6 +27,12 @@
         assert roster is not None
         old = next((v for v in roster.voters if v.name == leaves and v.ident != enters.ident), None)
         if old is not None:
+            # why: a lease rests on the roster under which it was granted, and is not written again as keys are: two
+            # voters that leave one after the other could take its majority away while its holder believes in it
+            if len(roster.voters) < most:
+                outwaited = await self._outwait(roster=roster)
+                if outwaited.is_error():
+                    return Error(outwaited.error)
             gone = old.ident
             left = await self.register.changeRoster(alter=lambda current: without(roster=current, ident=gone))
             if left.is_error():
@@ -48,6 +55,17 @@
             self.ctx.log.info("vault %s ident %x has entered the roster", enters.name, enters.ident)
         return entered
 
+    async def _outwait(self, *, roster: Roster) -> Result[None, Fault]:
+        """Waits until every lease that was granted under an earlier roster than this one has run out."""
+        # why: once a majority has taken this roster, no majority of an earlier one grants anything any more
+        known = await self.register.vector()
+        if known.is_error():
+            return Error(known.error)
+        await self.ctx.rest(waitUs=LONGEST_LEASE_US)
+        if self.register.roster != roster:
+            return Error(Fault(kind=Kind.versionTaken, why="another change of roster came first"))
+        return Ok(None)
+
 
 def without(*, roster: Roster, ident: int) -> Roster:
     voters = tuple(voter for voter in roster.voters if voter.ident != ident)
--- a/steps/registersteps.py
+++ b/steps/registersteps.py
@@ -16,8 +16,8 @@
 from cinderstair.vault.cell import Cell
 from cinderstair.vault.lease import Lease
 from cinderstair.vault.register import Register
-from cinderstair.vault.roster import Roster
-from cinderstair.vault.succession import without
+from cinderstair.vault.roster import Roster, Voter
+from cinderstair.vault.succession import Succession, without
 
 
 @given("5 vaults and {count:d} proposers, with seed {seed:d}")
@@ -296,3 +296,31 @@
 @then("it is not held")
 def then_not_held(context: Any) -> None:
     assert not context.lease.held
+
+
+@when("a duty is taken from vaults 0 to 2, vaults 0 and 1 die, and a replacement of each begins")
+def when_two_leave(context: Any) -> None:
+    world, (holder, seeker, changer) = context.world, context.registers
+    for register in (holder, seeker):
+        world.run(work=register.findRoster())
+    context.leases = [Lease(ctx=register.ctx, register=register, duty="duty") for register in (holder, seeker)]
+    world.advance(forUs=5_000_000)
+    world.cut(ones=["vault-3", "vault-4"], others=["proposer-0"])
+    assert world.run(work=context.leases[0].seek())
+    # why: a vault that is up would take its place again at once
+    for name in ("vault-0", "vault-1"):
+        world.kill(name=name)
+    assert world.run(work=strikeOff(register=changer, name="vault-0")).is_ok()
+    change = changer.changeRoster
+
+    async def once(**asked: Any) -> Any:
+        # why: whoever replaces a voter may end between the two changes
+        changer.changeRoster = None
+        return await change(**asked)
+
+    changer.changeRoster = once
+    enters = Voter(ident=77, name="vault-9", address="10.0.0.99:7100")
+    succession = Succession(ctx=changer.ctx, register=changer)
+    world.wires.runAt(boot=context.boots[2], work=succession.succeed(leaves="vault-1", enters=enters, most=5))
+    world.advance(forUs=1_000_000)
+    world.run(work=seeker.findRoster())
