Register, lease and roster's change explored exhaustively, on the real classes

A world of three to five vaults and a few clients is gone through choice by choice: messages arrive, are lost, come late or twice, disks sync, vaults restart or lose their disks, clients begin, time passes. Each process is the real class on its own loop, played again from what reached it; a step taken once is remembered, so that worlds are tuples of numbers. Ruled out: stepping pure objects written beside the classes (they would be a second register, and the faults found sit in its coroutines); playing whole worlds again for each branch (a step of one process is shared by thousands of worlds); breadth first alone (60,000 states at depth 6, where an acknowledgement takes 9): turns away from a calm run are counted instead, so that ways are long and still all of them.

--- /dev/null
+++ b/src/cinderstair/fairground/explorer/choice_net.py
@@ -0,0 +1,65 @@
+"""One process's network, on which every delivery is somebody's choice."""
+
+import asyncio
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from ...pitch.fault import Fault
+from ...pitch.kind import Kind
+from ...pitch.net import Channel, HttpAnswer, RecordAnswer
+from .event import Answered, Asked, Output, Token
+
+
+class ChoiceNet:
+    """Questions go out as outputs; answers and losses come in as events. There are no channels here."""
+
+    def __init__(self, *, outputs: list[Output]) -> None:
+        self.outputs = outputs
+        self.number = 0
+        self.waiting: dict[int, asyncio.Future[Result[bytes, Fault]]] = {}
+        self.answer: RecordAnswer | None = None
+        self.serving: set[asyncio.Task[Any]] = set()
+
+    async def ask(self, *, address: str, body: bytes, waitUs: int) -> Result[bytes, Fault]:
+        self.number += 1
+        number = self.number
+        self.waiting[number] = asyncio.get_running_loop().create_future()
+        self.outputs.append(Asked(number, address, body))
+        return await self.waiting[number]
+
+    def bring(self, *, number: int, body: bytes) -> None:
+        self.waiting.pop(number).set_result(Ok(body))
+
+    def lose(self, *, number: int) -> None:
+        """The asker's wait runs out, whatever became of its question."""
+        fault = Fault(kind=Kind.wireUnsure, why="not answered")
+        self.waiting.pop(number).set_result(Error(fault))
+
+    def serve_record(self, *, loop: asyncio.AbstractEventLoop, token: Token, body: bytes) -> None:
+        assert self.answer is not None
+        task: asyncio.Task[bytes] = loop.create_task(self.answer(body))  # type: ignore[arg-type]
+        self.serving.add(task)
+        task.add_done_callback(lambda done: self._served(task=done, token=token))
+
+    def _served(self, *, task: asyncio.Task[bytes], token: Token) -> None:
+        self.serving.discard(task)
+        # why: a record that can't be read is dropped by its reader, and the asker's wait runs out
+        if isinstance(task.exception(), ValueError):
+            return
+        self.outputs.append(Answered(token, task.result()))
+
+    async def listen(self, *, address: str, answer: RecordAnswer) -> None:
+        self.answer = answer
+
+    async def dial(self, *, address: str, waitUs: int) -> Result[Channel, Fault]:
+        raise NotImplementedError
+
+    async def serve(self, *, address: str, answer: HttpAnswer) -> None:
+        raise NotImplementedError
+
+    async def refuse(self) -> None:
+        return
+
+    async def close(self) -> None:
+        return
--- /dev/null
+++ b/src/cinderstair/fairground/explorer/event.py
@@ -0,0 +1,43 @@
+"""What may reach one process, and what it may bring about: all that passes between it and the explored world."""
+
+from typing import NamedTuple
+
+
+class Token(NamedTuple):
+    """Whose question it is: a process by its place in the model, which of its runs, and its number there."""
+
+    process: int
+    run: int
+    number: int
+
+
+class Event(NamedTuple):
+    """`kind` is ask, answer, lost, synced, timer, pass or go; the rest only where the kind has it."""
+
+    kind: str
+    number: int = 0
+    body: bytes = b""
+    token: Token | None = None
+    name: str = ""
+
+
+class Asked(NamedTuple):
+    number: int
+    address: str
+    body: bytes
+
+
+class Answered(NamedTuple):
+    token: Token
+    body: bytes
+
+
+class Said(NamedTuple):
+    """What a client began or learned: the invariants are judged by it."""
+
+    word: str
+    operation: str
+    outcome: tuple[str | int, ...] = ()
+
+
+Output = Asked | Answered | Said
--- /dev/null
+++ b/src/cinderstair/fairground/explorer/explorer_faults.py
@@ -0,0 +1,160 @@
+"""Faults switched into the vaults' code, each against one model, to see that the explorer sees."""
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from functools import partial
+from typing import Any
+from unittest.mock import patch
+
+from expression import Error, Ok, Result
+
+from ...pitch.fault import Fault
+from ...pitch.kind import Kind
+from ...vault import lease
+from ...vault.acceptor import ROSTER_KEY, Acceptor
+from ...vault.cell import Cell
+from ...vault.lease import Lease
+from ...vault.register import Register
+from ...vault.roster import Roster, Voter, readRoster
+from ...vault.store import cellEntry
+from ...vault.succession import Succession
+
+Patches = list[Any]
+
+
+def answers_before_sync() -> Patches:
+    """A vault answers first and syncs then."""
+
+    async def work(self: Any) -> None:
+        while True:
+            command, future = await self.commands.get()
+            answer, entries = command()
+            future.set_result(answer)
+            if entries:
+                await self.store.disk.beside(work=partial(self.store.save, entries=entries))
+
+    return [patch.object(Acceptor, "_work", work)]
+
+
+def accepts_any_ballot() -> Patches:
+    """A vault accepts a value whatever it has promised."""
+
+    def accept(self: Any, *, epoch: int, key: str, ballot: Any, value: bytes) -> Any:
+        barred = self._barred(epoch=epoch, key=key)
+        if barred is not None:
+            return barred, []
+        self.held.cells[key] = cell = Cell(promised=ballot, accepted=ballot, value=value)
+        return self._cellAnswer(status=0, cell=cell), [cellEntry(key=key, cell=cell)]
+
+    return [patch.object(Acceptor, "_accept", accept)]
+
+
+def blank_votes() -> Patches:
+    """A blank vault votes in the place of the one that lost its disk."""
+    barred = Acceptor._barred
+
+    def never(self: Any, *, epoch: int, key: str) -> Any:
+        mine = 0 if self.roster is None else self.roster.epoch
+        # why: only who is no voter is let vote; of another epoch it is told as ever
+        return barred(self, epoch=epoch, key=key) if epoch != mine else None
+
+    return [patch.object(Acceptor, "_barred", never)]
+
+
+def no_margin() -> Patches:
+    """A holder believes until the very end of its lease."""
+    return [patch.object(lease, "MARGIN_US", 0)]
+
+
+def grants_at_once() -> Patches:
+    """A vault that starts again grants what it may have granted before."""
+    init = Acceptor.__init__
+
+    def fresh(self: Any, **given: Any) -> None:
+        init(self, **{**given, "fresh": True})
+
+    return [patch.object(Acceptor, "__init__", fresh)]
+
+
+def same_number() -> Patches:
+    """A daemon seeks under the number that it gave back."""
+
+    async def give_back(self: Any) -> None:
+        await self._ask(holder=self.holder, lengthUs=0)
+
+    return [patch.object(Lease, "_give_back", give_back)]
+
+
+def second_leaves_at_once() -> Patches:
+    """A second voter is taken off without waiting for leases."""
+
+    async def outwait(self: Any, *, roster: Roster) -> Result[None, Fault]:
+        return Ok(None)
+
+    return [patch.object(Succession, "_outwait", outwait)]
+
+
+async def change_blindly(self: Any, *, alter: Callable[[Roster], Roster]) -> Result[Roster, Fault]:
+    """As Register.changeRoster, without a look at how much changes and whether another change came first."""
+    highest = await self.vector()
+    for key in highest.ok if highest.is_ok() else ():
+        kept = await self.change(key=key, decide=Ok)
+        if kept.is_error():
+            return Error(kept.error)
+    current = self.roster
+    wanted = alter(current)
+
+    def decide(data: bytes) -> Result[bytes, Fault]:
+        if data and readRoster(data=data).epoch != current.epoch:
+            return Error(Fault(kind=Kind.versionTaken, why="another change of roster came first"))
+        return Ok(wanted.bytes())
+
+    chosen = await self.change(key=ROSTER_KEY, decide=decide)
+    if chosen.is_error():
+        return Error(chosen.error)
+    self.learnRoster(roster=wanted)
+    await self.tellAll(roster=wanted)
+    return Ok(wanted)
+
+
+def overtaken_goes_on() -> Patches:
+    """A change of the roster goes on from one that came while it wrote the keys again."""
+    return [patch.object(Register, "changeRoster", change_blindly)]
+
+
+def two_at_once() -> Patches:
+    """A replacement is one change of two voters."""
+
+    async def succeed(self: Any, *, leaves: str, enters: Voter, most: int) -> Result[Roster, Fault]:
+        def alter(current: Roster) -> Roster:
+            stay = tuple(voter for voter in current.voters if voter.name != leaves)
+            return Roster(epoch=current.epoch + 1, voters=(*stay, enters))
+
+        return await change_blindly(self.register, alter=alter)
+
+    return [patch.object(Succession, "succeed", succeed)]
+
+
+FAULTS: dict[str, Callable[[], Patches]] = {
+    each.__name__: each
+    for each in (
+        answers_before_sync,
+        accepts_any_ballot,
+        blank_votes,
+        no_margin,
+        grants_at_once,
+        same_number,
+        second_leaves_at_once,
+        overtaken_goes_on,
+        two_at_once,
+    )
+}
+
+
+@contextmanager
+def switched_in(*, name: str) -> Iterator[None]:
+    """Runs what it encloses with one fault in the code; an empty name is the code as it is."""
+    with ExitStack() as stack:
+        for each in FAULTS[name]() if name else []:
+            stack.enter_context(each)
+        yield
--- /dev/null
+++ b/src/cinderstair/fairground/explorer/models.py
@@ -0,0 +1,18 @@
+"""The models by name."""
+
+from .lease_model import LeaseModel
+from .lease_roster_model import LeaseRosterModel
+from .model import Model
+from .register_model import RegisterModel
+from .roster_model import LeavingModel, RosterModel
+from .wipe_model import MovedWipeModel, WipeModel
+
+MODELS: dict[str, type[Model]] = {
+    "register": RegisterModel,
+    "after_ack_wipe": WipeModel,
+    "after_ack_wipe_moved": MovedWipeModel,
+    "lease": LeaseModel,
+    "lease_roster": LeaseRosterModel,
+    "roster_change": RosterModel,
+    "roster_leaving": LeavingModel,
+}
--- /dev/null
+++ b/src/cinderstair/fairground/explorer/roster_model.py
@@ -0,0 +1,99 @@
+"""Two changes of the roster that race, while a key is written."""
+
+from collections.abc import Hashable, Sequence
+
+from ...vault.cell import Cell
+from ...vault.roster import Voter
+from ...vault.succession import Succession, without
+from .actor import Actor
+from .client_actor import ClientActor, Operation, Outcome
+from .event import Said
+from .recipe import Recipe
+from .register_model import FIRST_BALLOT, KEY, NEW_BALLOT, RegisterModel, Watch, founded, read, voter_of, write
+from .vault_actor import VaultActor, files_of
+from .world_state import Budget
+
+
+def replace(*, leaves: str, enters: Voter) -> Operation:
+    async def operation(actor: ClientActor) -> Outcome:
+        succession = Succession(ctx=actor.ctx, register=actor.register)
+        result = await succession.succeed(leaves=leaves, enters=enters, most=3)
+        return ("replaced" if result.is_ok() else str(result.error.kind), 0, "")
+
+    return operation
+
+
+def leave(*, name: str) -> Operation:
+    """The first half of a replacement, whose second half never comes."""
+
+    async def operation(actor: ClientActor) -> Outcome:
+        ident = voter_of(name=name).ident
+        result = await actor.register.changeRoster(alter=lambda current: without(roster=current, ident=ident))
+        return ("left" if result.is_ok() else str(result.error.kind), 0, "")
+
+    return operation
+
+
+class RosterModel(RegisterModel):
+    """Three voters; d and e are empty vaults at other addresses, and each is to take a place. b and c know version 2
+    of the key, and a missed it.
+
+    Operators name who leaves, so that the empty ones come without a snapshot, which is more than the daemon asks of
+    the roster's rule. One client writes and reads meanwhile.
+    """
+
+    names: tuple[str, ...] = ("a", "b", "c", "d", "e", "changer-0", "changer-1", "writer")
+    vaults = 5
+    budget = Budget(timers=6)
+    depth = 400
+    turns = 2
+    ops: tuple[tuple[tuple[str, Operation], ...], ...] = (
+        (("replace b by d", replace(leaves="b", enters=voter_of(name="d"))),),
+        (("replace c by e", replace(leaves="c", enters=voter_of(name="e"))),),
+        (("write 3", write(3)), ("read", read)),
+    )
+
+    def cells(self, *, name: str) -> dict[str, Cell]:
+        old = Cell(promised=FIRST_BALLOT, accepted=FIRST_BALLOT, value=b"1:first")
+        new = Cell(promised=NEW_BALLOT, accepted=NEW_BALLOT, value=b"2:writer")
+        return {KEY: old if name == "a" else new, "other": old}
+
+    def first_watch(self) -> Hashable:
+        return Watch(2, (0,) * len(self.ops), ((1, "1:first"), (2, "2:writer")), ())
+
+    def recipes(self) -> Sequence[Recipe]:
+        found = []
+        for process, name in enumerate(self.names):
+            ident = voter_of(name=name).ident
+            files: tuple[tuple[str, bytes], ...] = ()
+            if name in "abc":
+                files = files_of(ident=ident, roster=founded(names="abc"), cells=self.cells(name=name))
+            elif name in "de":
+                files = files_of(ident=ident)
+            found.append(Recipe(process=process, run=0, address=f"{name}:1", files=files))
+        return found
+
+    def make(self, recipe: Recipe) -> Actor:
+        name = self.names[recipe.process]
+        if recipe.process < self.vaults:
+            return VaultActor(recipe=recipe, name=name, seeds=self.seeds)
+        todo = self.ops[recipe.process - self.vaults]
+        return ClientActor(recipe=recipe, name=name, seeds=self.seeds, roster=founded(names="abc"), todo=todo)
+
+    def watch(self, *, watch: object, process: int, said: Said) -> object:  # type: ignore[override]
+        # why: what a changer says of its own work binds nobody; what the vaults hold is judged
+        if "changer" in self.names[process]:
+            return watch
+        return super().watch(watch=watch, process=process, said=said)
+
+
+class LeavingModel(RosterModel):
+    """Only the first halves: two voters are struck off at once, and nobody takes their places."""
+
+    names: tuple[str, ...] = ("a", "b", "c", "changer-0", "changer-1", "reader")
+    vaults = 3
+    ops: tuple[tuple[tuple[str, Operation], ...], ...] = (
+        (("strike off b", leave(name="b")),),
+        (("strike off c", leave(name="c")),),
+        (("read", read),),
+    )
--- /dev/null
+++ b/src/cinderstair/fairground/explorer/seeker_actor.py
@@ -0,0 +1,44 @@
+"""A daemon that seeks a duty, on its own loop."""
+
+from collections.abc import Hashable, Sequence
+
+from ...vault.lease import Lease
+from ...vault.roster import Roster
+from .client_actor import ClientActor, Operation, Outcome
+from .recipe import Recipe
+
+
+class SeekerActor(ClientActor):
+    """Its facts say whether it believes, by its own clock, that the duty is its own."""
+
+    def __init__(
+        self,
+        *,
+        recipe: Recipe,
+        name: str,
+        seeds: tuple[str, ...],
+        roster: Roster,
+        todo: Sequence[tuple[str, Operation]],
+        rate: float,
+    ) -> None:
+        super().__init__(recipe=recipe, name=name, seeds=seeds, roster=roster, todo=todo, rate=rate)
+        self.lease = Lease(ctx=self.ctx, register=self.register, duty="duty")
+
+    def more(self) -> Hashable:
+        return max(0, self.lease.untilUs - self.ctx.nowUs()), tuple(
+            value for name, value in sorted(vars(self.lease).items()) if isinstance(value, int) and name[-2:] != "Us"
+        )
+
+    def facts(self) -> bool:
+        return self.lease.held
+
+
+async def seek(actor: ClientActor) -> Outcome:
+    assert isinstance(actor, SeekerActor)
+    return ("held" if await actor.lease.seek() else "not held",)
+
+
+async def drop(actor: ClientActor) -> Outcome:
+    assert isinstance(actor, SeekerActor)
+    await actor.lease.drop()
+    return ("dropped",)
--- /dev/null
+++ b/src/cinderstair/fairground/explorer/vault_actor.py
@@ -0,0 +1,101 @@
+"""A vault, on its own loop."""
+
+import random
+from collections.abc import Hashable
+from typing import Any, NamedTuple
+
+from ...pitch.settings import Settings
+from ...vault.ballot import Ballot
+from ...vault.cell import Cell
+from ...vault.roster import Roster
+from ...vault.store import Store, cellEntry, identEntry, rosterEntry
+from ...vault.vault import Vault
+from ..simdisk import SimDisk
+from .actor import Actor
+from .recipe import Recipe
+
+Files = tuple[tuple[str, bytes], ...]
+
+
+class VaultFacts(NamedTuple):
+    """What a vault would still know if it lost its power now."""
+
+    ident: int
+    roster: bytes
+    cells: tuple[tuple[str, Ballot, bytes], ...]
+
+
+class EmptyCrowd:
+    """Nobody is known to be lost: whose place a vault takes is said by its name or by the model."""
+
+    def alive(self, *, role: str) -> list[Any]:
+        return []
+
+
+def files_of(*, ident: int, roster: Roster | None = None, cells: dict[str, Cell] | None = None) -> Files:
+    """The disk of a vault that holds this."""
+    disk = SimDisk(luck=random.Random(0))
+    store = Store(disk=disk).open().ok
+    entries = [identEntry(ident=ident)]
+    if roster is not None:
+        entries.append(rosterEntry(data=roster.bytes()))
+    entries += [cellEntry(key=key, cell=cell) for key, cell in sorted((cells or {}).items())]
+    store.save(entries=entries)
+    return tuple(sorted(disk.files.items()))
+
+
+class VaultActor(Actor):
+    """Answers as the daemon does; a blank one also meets the others and takes its place again, if it `enters`."""
+
+    def __init__(
+        self, *, recipe: Recipe, name: str, seeds: tuple[str, ...], enters: bool = False, rate: float = 1.0
+    ) -> None:
+        super().__init__(recipe=recipe, name=name, rate=rate)
+        settings = Settings(
+            name=name, site="hall", records=recipe.address, seeds=seeds, foundingVaults=3, mayFound=False
+        )
+        self.enters = enters
+        self.up_for_long = False
+        self.halts: list[str] = []
+        self.vault = Vault(ctx=self.ctx, settings=settings, halt=self.halts.append)
+
+    def begin(self) -> None:
+        opened = self.vault.open()
+        assert opened.is_ok(), opened
+        assert self.vault.acceptor is not None
+        if self.up_for_long:
+            self.vault.acceptor.grantsFromUs = 0
+        self.vault.crowd = EmptyCrowd()  # type: ignore[assignment]
+        self.net.answer = self.vault.desk.answer
+        if self.enters:
+            self.ctx.spawn(work=self.vault._meet(), name="vault.meet")
+
+    def digest(self) -> Hashable | None:
+        acceptor = self.vault.acceptor
+        assert acceptor is not None
+        # why: while it asks or syncs, how far its tasks have come is known by its history alone
+        if self.enters or self.disk.syncing is not None or self.net.serving or self.net.waiting:
+            return None
+        now_us = self.ctx.nowUs()
+        leases = [
+            (duty, holder, until_us - now_us)
+            for duty, (holder, until_us) in sorted(acceptor.leases.items())
+            if until_us > now_us
+        ]
+        held = acceptor.held
+        return (
+            held.ident,
+            held.roster,
+            tuple(sorted((key, cell.promised, cell.accepted, cell.value) for key, cell in held.cells.items())),
+            tuple(leases),
+            max(0, acceptor.grantsFromUs - now_us),
+            acceptor.halted,
+            tuple(sorted((voter.name, voter.ident) for voter in self.vault.strangers.values())),
+        )
+
+    def facts(self) -> VaultFacts:
+        disk = SimDisk(luck=random.Random(0))
+        disk.files = dict(self.disk.files)
+        held = Store(disk=disk).open().ok.held
+        cells = tuple((key, cell.accepted, cell.value) for key, cell in sorted(held.cells.items()))
+        return VaultFacts(held.ident, held.roster, cells)
--- /dev/null
+++ b/src/cinderstair/fairground/explorer/wipe_model.py
@@ -0,0 +1,50 @@
+"""A vault loses its disk right after an acknowledgement and comes back blank."""
+
+from collections.abc import Hashable
+
+from ...vault.cell import Cell
+from .actor import Actor
+from .client_actor import ClientActor, Operation
+from .recipe import Recipe
+from .register_model import FIRST_BALLOT, KEY, NEW_BALLOT, RegisterModel, Watch, founded, read, write
+from .vault_actor import VaultActor
+from .world_state import Budget
+
+
+class WipeModel(RegisterModel):
+    """Version 2 was acknowledged by a and b, and c missed it: every way to go on from there.
+
+    Any one disk is lost at any moment. Its vault comes back at its old address, blank, and takes its place again as
+    the daemon does: it meets the others, takes a snapshot, and enters by two changes of the roster.
+    """
+
+    names: tuple[str, ...] = ("a", "b", "c", "reader", "writer")
+    budget = Budget(wipes=1, timers=12)
+    depth = 400
+    turns = 2
+    ops: tuple[tuple[tuple[str, Operation], ...], ...] = (
+        (("read", read), ("read again", read)),
+        (("write 3", write(3)),),
+    )
+
+    def cells(self, *, name: str) -> dict[str, Cell]:
+        if name in "ab":
+            return {KEY: Cell(promised=NEW_BALLOT, accepted=NEW_BALLOT, value=b"2:writer")}
+        return {KEY: Cell(promised=FIRST_BALLOT, accepted=FIRST_BALLOT, value=b"1:first")}
+
+    def make(self, recipe: Recipe) -> Actor:
+        name = self.names[recipe.process]
+        if recipe.process < self.vaults:
+            return VaultActor(recipe=recipe, name=name, seeds=self.seeds, enters=recipe.blank)
+        todo = self.ops[recipe.process - self.vaults]
+        return ClientActor(recipe=recipe, name=name, seeds=self.seeds, roster=founded(names="abc"), todo=todo)
+
+    def first_watch(self) -> Hashable:
+        return Watch(2, (0,) * len(self.ops), ((1, "1:first"), (2, "2:writer")), ())
+
+
+class MovedWipeModel(WipeModel):
+    """The same, and the vault comes back at another address under its name."""
+
+    def wipe_address(self, *, process: int, address: str) -> str:
+        return f"{self.names[process]}:2"
