A booth that can't reach a primary sends by way of another booth that does

Ruled out: that the duty overlooked them (it asks and a majority reaches the primary); moving the lead (all pay for a few).

--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -53,7 +53,7 @@
         self.desk = Desk(ctx=ctx)
         self.forwards = ForwardDesk(ctx=ctx, router=self.router, desk=self.desk)
         if records:
-            self.router.forwarder = self.forwarder
+            self.router.forwarder = self.router.detours.forwarder = self.forwarder
         self.draining = False
         self.told_ready = False
 
--- a/src/cinderstair/booth/link_pool.py
+++ b/src/cinderstair/booth/link_pool.py
@@ -59,6 +59,11 @@
     def open(self) -> int:
         return len(self.idle) + len(self.taken) - len(self.forwarded) + self.dialing
 
+    @property
+    def unreachable(self) -> bool:
+        """Whether the backend owes answers and is silent, or can't even be dialled."""
+        return self.silent or bool(self.failures and not self.idle and not self.taken)
+
     @property
     def load(self) -> int:
         return len(self.taken) + len(self.waiting)
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -19,6 +19,7 @@
 from ..steward.service_lead import PREFIX, LeadState, ServiceLead
 from ..steward.slots import SLOTS_KEY
 from .dealing import Spot, dealt_copies, dealt_links
+from .detours import Detours
 from .forwarder import Forwarder, Holder
 from .freshness import Freshness
 from .link import Dialer
@@ -70,6 +71,7 @@
         self.region = region
         # why: set where this booth can be reached by others; without it links are lent
         self.forwarder: Forwarder | None = None
+        self.detours = Detours(ctx=ctx, others=self._others)
         self.links: dict[tuple[str, int], dict[int, int]] = {}
         self.table_us = -RISE_US
         self.rising = False
@@ -144,6 +146,7 @@
         kept = {name for each in names.values() for name in each}
         for name in [name for name in self.pools if name not in kept]:
             self.pools.pop(name).shut()
+            self.detours.forget(name=name)
             self.leaving_us.pop(name, None)
         self.members, self.parts, self.deals = names, {}, {}
         for service in names:
@@ -216,6 +219,17 @@
             self.rising, limit = True, pool.limit
         pool.allow(limit=limit)
 
+    def _others(self, pool: LinkPool) -> tuple[Holder, ...]:
+        """The booths that may have links to a backend."""
+        if pool.forwarder is not None:
+            return pool.holders
+        places = self.view.places
+        return tuple(
+            Holder(self.distance(places[name].site), name, places[name].records)
+            for _, name in self.view.slots.names
+            if name in places and places[name].records and name != self.ctx.name
+        )
+
     def _spot(self, *, site: str) -> Spot:
         return Spot(site, self.region(site))
 
@@ -233,6 +247,7 @@
             dealt = self.deals[(spots, room)] = dealt_copies(booths=booths, copies=spots, room=room)
         number = dealt.get(booth_id)
         return "" if number is None else copies[number]
+
     @property
     def leave_us(self) -> int:
         """How long an emptying primary is served after this booth heard of it."""
@@ -279,6 +294,8 @@
         for pool in self.pools.values():
             if pool.taken or pool.silent:
                 pool.check_silence()
+            if pool.unreachable or pool.backend.name in self.detours.ways:
+                self._go_round(pool=pool)
         for service in self._tended(names=list(plan.services)):
             lead = self.view.leads.get(service)
             if lead is None:
@@ -291,6 +308,14 @@
                 copies[0].warm(count=1)
             self._sample(service=service, lead=lead)
 
+    def _go_round(self, *, pool: LinkPool) -> None:
+        """A primary that can't be reached from here may be by way of another booth; of copies there are others."""
+        lead = self.view.leads.get(pool.backend.service)
+        if lead is not None and lead.state == LeadState.settled and lead.primary == pool.backend.name:
+            self.detours.tend(pool=pool, service=pool.backend.service)
+        else:
+            self.detours.forget(name=pool.backend.name)
+
     def _tended(self, *, names: list[str]) -> list[str]:
         """Those that were read from lately, and of all others a part each time."""
         turns = len(names) // TENDED_AT_ONCE + 1
@@ -385,6 +410,9 @@
         pool = self.pools.get(lead.primary)
         if pool is None or pool.closed:
             return Error(Fault(kind=Kind.noLead, why=f"{service}: {lead.primary} is not there"))
+        way = self.detours.way(pool=pool) if pool.unreachable else None
+        if way is not None:
+            return Ok(way)
         if pool.silent:
             # why: what is sent into silence may have been run for all that anybody can say, and is lost to its client
             details = {"left_us": SILENT_LEFT_US}
--- a/src/cinderstair/fairground/platformsim/lead_trials.py
+++ b/src/cinderstair/fairground/platformsim/lead_trials.py
@@ -322,3 +322,46 @@
     world.advance(for_ms=3_000)
     world.await_that(test=world.serves, within_ms=30_000, what="somebody leads")
     world.advance(for_ms=3_000)
+
+
+def primary_cut_from_booths(world: PlatformWorld) -> None:
+    """Some booths can't reach a primary that all guildhalls and the other booths reach: no lead moves, all is served."""
+    world.advance(for_ms=1_500)
+    old, promotions = world.primary(), len(world.platform.calls)
+    cut = world.luck.sample(world.booths, len(world.booths) // 2)
+    world.cut(ones=[old.name], others=cut)
+    # why: until a silence is noticed what was sent into it is lost to its clients
+    world.advance(for_ms=2_500)
+    served, owed = world.served, world.owed
+    world.advance(for_ms=5_000)
+    served, owed = world.served - served, world.owed - owed
+    assert served >= 0.97 * owed > 0, f"{served} of {owed} served while booths were cut off from a primary"
+    if world.luck.random() < 0.5:
+        # why: the booth that was the way round goes, and another one has to be found
+        ways = {
+            holder.name
+            for name in cut
+            for way, _ in world.roles[name].booth.router.detours.ways.values()
+            for holder in way.holders
+        }
+        assert ways, "no way round was found"
+        world.kill(name=world.luck.choice(sorted(ways)))
+        world.advance(for_ms=3_000)
+    assert world.primary() is old and len(world.platform.calls) == promotions, "a lead moved"
+    world.heal()
+    world.advance(for_ms=4_000)
+    assert not any(world.roles[name].booth.router.detours.ways for name in world.booths if name in world.roles), (
+        "a way round outlasted its cut"
+    )
+
+
+def primary_dies_behind_detours(world: PlatformWorld) -> None:
+    """A primary that some booths reach by way of others dies: nothing acknowledged is lost, nothing lands twice."""
+    world.advance(for_ms=1_500)
+    old = world.primary()
+    world.cut(ones=[old.name], others=world.luck.sample(world.booths, len(world.booths) // 2))
+    world.advance(for_ms=world.luck.randrange(1_500, 4_000))
+    world.crash(backend=old, dark=world.luck.random() < 0.5, again_us=5_000_000)
+    moved(world=world, old=old.name)
+    world.heal()
+    world.advance(for_ms=3_000)
--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -52,6 +52,8 @@
         Trial(lead_trials.booth_cut_off, MOVE),
         Trial(lead_trials.booth_cut_off_unconfirmed, ("ONE", "REFUSED"), waits_for=0),
         Trial(lead_trials.primary_cut),
+        Trial(lead_trials.primary_cut_from_booths, clients=18, booths=6),
+        Trial(lead_trials.primary_dies_behind_detours, MOVE, clients=18, booths=6),
         Trial(lead_trials.platform_troubled, (*MOVE, "REFUSED")),
         Trial(lead_trials.far_regions, region_us=75_000),
         Trial(lead_trials.candidate_crash, (*MOVE, "REFUSED")),
--- a/src/cinderstair/fairground/platformsim/platformsim.feature
+++ b/src/cinderstair/fairground/platformsim/platformsim.feature
@@ -29,6 +29,8 @@
       | candidate_crash             | 85    | 1    |
       | far_regions                 | 85    | 3    |
       | primary_cut                 | 90    | 1    |
+      | primary_cut_from_booths     | 93    | 3    |
+      | primary_dies_behind_detours | 85    | 3    |
       | platform_troubled           | 90    | 1    |
 
     Examples: whoever moves it is troubled
--- /dev/null
+++ b/steps/detoursteps.py
@@ -0,0 +1,137 @@
+"""Steps for ways round to a primary that can't be reached from here."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+from expression import Ok, Result
+from stage import Stage, announcement
+
+from cinderstair.booth.detours import Detours
+from cinderstair.booth.forwarder import Holder
+from cinderstair.booth.link_pool import LinkPool
+from cinderstair.booth.reply import Reply
+from cinderstair.pitch.fault import Fault
+from cinderstair.pitch.kind import Kind
+from cinderstair.pitch.position import Position
+
+TEND_MS = 100
+ANSWER_US = 5_000
+
+
+class WayLink:
+    """Answers a position as its holder would, which may not reach the backend itself."""
+
+    def __init__(self, *, holder: Holder, reached: set[str], wait_us: int) -> None:
+        self.holder = holder
+        self.reached = reached
+        self.wait_us = wait_us
+
+    def ask_position(self) -> asyncio.Future[Reply]:
+        return asyncio.ensure_future(self._answer())
+
+    async def _answer(self) -> Reply:
+        await asyncio.sleep(self.wait_us / 1_000_000)
+        if self.holder.name in self.reached:
+            return Reply(rows=[], position=Position(1, 7))
+        return Reply(rows=[], fault=Kind.noBackend, not_run=True)
+
+    def close(self) -> None:
+        pass
+
+
+class FakeForwarder:
+    def __init__(self) -> None:
+        self.reached = {"near", "far"}
+        self.wait_us = ANSWER_US
+        self.tried: list[str] = []
+
+    async def link(self, *, holders: tuple[Holder, ...], **_: Any) -> Result[WayLink, Fault]:
+        self.tried.append(holders[0].name)
+        return Ok(WayLink(holder=holders[0], reached=self.reached, wait_us=self.wait_us))
+
+
+@given('a primary "{name}", and other booths "near" and "far" that may have links to it')
+def given_primary(context: Any, name: str) -> None:
+    context.stage = Stage(context=context)
+    holders = (Holder(0, "near", "near:1"), Holder(2, "far", "far:1"))
+    context.forwarder = FakeForwarder()
+
+    def make() -> None:
+        context.detours = Detours(ctx=context.stage.ctx, others=lambda pool: holders)
+        context.detours.forwarder = context.forwarder
+        context.pool = LinkPool(
+            ctx=context.stage.ctx, backend=announcement(name=name), dialer=no_dialer, on_trouble=lambda: None
+        )
+
+    context.stage.call(call=make)
+
+
+async def no_dialer(**_: Any) -> Any:
+    raise AssertionError("a way round dials nothing")
+
+
+def pass_ms(*, context: Any, wait_ms: int) -> None:
+    for _ in range(wait_ms // TEND_MS):
+        context.stage.call(call=lambda: context.detours.tend(pool=context.pool, service="s"))
+        context.stage.advance(for_us=TEND_MS * 1_000)
+
+
+@when("{wait_ms:d} ms pass, with a look each 100 ms")
+def when_pass(context: Any, wait_ms: int) -> None:
+    pass_ms(context=context, wait_ms=wait_ms)
+
+
+@when('"a" is silent')
+def when_silent(context: Any) -> None:
+    context.pool.silent = True
+
+
+@when('"a" can\'t be dialled')
+def when_not_dialled(context: Any) -> None:
+    context.pool.failures = 1
+
+
+@when('"a" answers again')
+def when_answers(context: Any) -> None:
+    context.pool.heard()
+
+
+@when('"{name}" does not reach it either')
+def when_not_reached(context: Any, name: str) -> None:
+    context.forwarder.reached.discard(name)
+
+
+@when('"{name}" reaches it again')
+def when_reached(context: Any, name: str) -> None:
+    context.forwarder.reached.add(name)
+
+
+@when('"near" answers after {wait_ms:d} ms')
+def when_slow(context: Any, wait_ms: int) -> None:
+    context.forwarder.wait_us = wait_ms * 1_000
+
+
+@then('"a" is reached by way of "{name}"')
+def then_way(context: Any, name: str) -> None:
+    way = context.detours.way(pool=context.pool)
+    assert way is not None and way.holders[0].name == name, (way and way.holders, context.forwarder.tried)
+    assert way is not context.pool and way.backend is context.pool.backend and not way.limit
+
+
+@then('{wait_ms:d} ms later "a" is reached by way of "{name}"')
+def then_still(context: Any, wait_ms: int, name: str) -> None:
+    for _ in range(wait_ms // 500):
+        pass_ms(context=context, wait_ms=500)
+        then_way(context=context, name=name)
+
+
+@then("no way was tried, and there is none")
+def then_untried(context: Any) -> None:
+    assert not context.forwarder.tried and context.detours.way(pool=context.pool) is None
+
+
+@then("there is no way, and at most {most:d} were tried")
+def then_none(context: Any, most: int) -> None:
+    assert context.detours.way(pool=context.pool) is None
+    assert 0 < len(context.forwarder.tried) <= most, context.forwarder.tried
