An overdue move is expected to take as long again, so nobody is held to the end

Cause: once a move's expected end was past, each statement took it to be over within 50 ms, again and again, and was held until its route's time was up, where promotions take longer than a booth has seen yet. Ruled out: a longer first guess, which would refuse at once what quick promotions serve. Change: the time left of a move that is overdue is the time by which it is overdue.

--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -405,7 +405,8 @@
             return Error(Fault(kind=Kind.notCurrent, why="out of touch with the register", details=details))
         if lead.state != LeadState.settled:
             left_us = self.view.lead_since_us[service] + lead.ready_in_us - self.ctx.nowUs()
-            details = {"left_us": max(50_000, left_us)}
+            # why: a move that is overdue may take as long again; who hopes on until its time is up is only held
+            details = {"left_us": max(50_000, abs(left_us))}
             return Error(Fault(kind=Kind.moving, why=f"{service}: its lead moves", details=details))
         pool = self.pools.get(lead.primary)
         if pool is None or pool.closed:
--- a/src/cinderstair/booth/session.feature
+++ b/src/cinderstair/booth/session.feature
@@ -60,6 +60,13 @@
       | 500   | done I   | 300   | 310  | PUT 1 x |
       | 900   | moving I | 0     | 1    | nothing |
 
+  Scenario: A move that is overdue is expected to take as long again
+    When the lead moves to "b" at 3.5, to be ready in 50 ms
+    And 900 ms pass
+    And the client asks "PUT 1 x"
+    Then the client was told "moving I"
+    And it took between 0 and 1 ms
+
   Scenario Outline: A lead that moves while a link is waited for takes what comes with it
     Given "a" is dialled "slow 100"
     When the client begins to ask "<asks>"
