A held-up write lands nowhere else: closed means answered, links that owe are reset

Cause: a booth said "closed" once its own time for a write was over, and whoever was not heard was waited for by 1.5 s, while bytes that a cut holds up arrive as much as 2.5 s later (for as long as a socket bears silence), or 20 s where its process has ended. And a booth out of touch that had never heard of the proposal let a transaction that had begun before it commit at any later time.

The checker now judges whatever the old place appends, told or not.

- A link that owes an answer is reset, not closed (SO_LINGER 0, also where the process dies); it gives up what is not answered 0.5 s after a closing was heard, or when its view has lapsed.
- A proposal stands for 2 s at least; a booth out of touch for longer ends no transaction that writes.
- Votes are about a turn, not a version, so that a map that was given up may be put again.

Ruled out: a fence by STEPDOWN, which costs all other databases of the service a move.

--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -43,7 +43,7 @@
             view=self.view,
             dialer=dialer,
             distance=distance,
-            busy=self._busy,
+            open_=self._open,
             region=region,
             drain_us=drain_us,
         )
@@ -68,9 +68,9 @@
         await self.view.choose()
         await self.view.keep()
 
-    def _busy(self, databases: frozenset[str]) -> bool:
-        """Whether anything may still be written at these databases' old places."""
-        own = any(session.writing for session in self.sessions if session.database in databases)
+    def _open(self, databases: frozenset[str]) -> bool:
+        """Whether a transaction that may write stands open at any of these databases' places."""
+        own = any(session.holds_open for session in self.sessions if session.database in databases)
         return own or self.forwards.writing(databases=databases)
 
     @property
--- a/src/cinderstair/booth/forward_desk.py
+++ b/src/cinderstair/booth/forward_desk.py
@@ -191,7 +191,10 @@
             alias = self.router.alias(shape=question.shape, writes=statement.writes)
             if link.prepared.get(alias) != (question.shape, statement.writes):
                 link.prepare(alias=alias, shape=question.shape, writes=statement.writes)
-        return link.send(statement=statement, at_least=question.at_least, alias=alias)
+        answer = link.send(statement=statement, at_least=question.at_least, alias=alias)
+        if statement.verb == Verb.commit or self._writes(question=question):
+            self.router.shards.under_way.sent(database=question.database, link=link, answer=answer)
+        return answer
 
     async def _single(self, *, question: ForwardQuestion) -> tuple[Outcome, Reply]:
         writes = self._writes(question=question)
--- a/src/cinderstair/booth/link.py
+++ b/src/cinderstair/booth/link.py
@@ -58,7 +58,9 @@
 
     def ask_position(self) -> asyncio.Future[Reply]: ...
 
-    def close(self) -> None: ...
+    def close(self) -> None:
+        """What is still owed an answer and has not arrived yet never will."""
+        ...
 
 
 class Dialer(Protocol):
--- a/src/cinderstair/booth/relayed_view.py
+++ b/src/cinderstair/booth/relayed_view.py
@@ -150,14 +150,14 @@
         self._nearest = found
 
     def _question(self, *, whole: bool) -> RelayQuestion:
-        version, vote = self.vote()
+        turn, vote = self.vote()
         return RelayQuestion(
             booth=self.ctx.name,
             site=self.site,
             source=0 if whole else self.source,
             edition=0 if whole else self.edition,
             troubled=self.troubled(),
-            version=version,
+            turn=turn,
             vote=vote,
             samples=() if whole else self.samples.told(source=self.source),
             wanted=() if whole else self.samples.wants(),
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -60,9 +60,9 @@
         view: RelayedView,
         dialer: Dialer,
         distance: Callable[[str], int],
-        busy: Callable[[frozenset[str]], bool] = lambda databases: False,
         region: Callable[[str], str] = lambda site: site,
         drain_us: int = DRAIN_US,
+        open_: Callable[[frozenset[str]], bool] = lambda databases: False,
     ) -> None:
         self.ctx = ctx
         self.view = view
@@ -87,7 +87,7 @@
         self.parts: dict[int, int] = {}
         self.deals: dict[tuple[tuple[Spot, ...], int], dict[int, int]] = {}
         self.turn = 0
-        self.shards = Shards(ctx=ctx, view=view, busy=busy)
+        self.shards = Shards(ctx=ctx, view=view, open_=open_)
         view.troubled = self.troubled
         view.samples.wanted = self._wanted
         view.samples.note = self._pooled
--- a/src/cinderstair/booth/session.py
+++ b/src/cinderstair/booth/session.py
@@ -35,6 +35,7 @@
         self.link: Link | None = None
         self.pool: LinkPool | None = None
         self.begun: asyncio.Task[Result[Link, Fault]] | None = None
+        self.asked = False
         self.used = False
         self.wrote = False
         self.touched_us = arrived_us
@@ -52,7 +53,6 @@
         self.state = State.idle
         # why: a position says nothing of another service's log
         self.own: tuple[str, Position] | None = None
-        self.single_write = False
         self.transaction: Transaction | None = None
         self.busy = False
 
@@ -60,10 +60,9 @@
         return self.router.route(database=self.database)
 
     @property
-    def writing(self) -> bool:
-        """Whether anything of this session may still be written at the database's place."""
-        open_ = self.transaction is not None and not self.transaction.read_only
-        return open_ or self.single_write
+    def holds_open(self) -> bool:
+        """Whether a backend was asked to begin a transaction that may write, and none has ended it yet."""
+        return self.transaction is not None and not self.transaction.read_only and self.transaction.asked
 
     async def run(self, *, statement: Statement) -> Reply:
         """The answer to one statement. Its state is the session's from then on."""
@@ -127,7 +126,12 @@
             alias = self.router.alias(shape=shape, writes=writes)
             if link.prepared.get(alias) != (shape, writes):
                 link.prepare(alias=alias, shape=shape, writes=writes)
-        return link.send(statement=statement, at_least=at_least, alias=alias)
+        answer = link.send(statement=statement, at_least=at_least, alias=alias)
+        transaction = self.transaction
+        lands = self._writes(statement=statement) if transaction is None else statement.verb == Verb.commit
+        if lands and (transaction is None or not transaction.read_only):
+            self.router.shards.under_way.sent(database=self.database, link=link, answer=answer)
+        return answer
 
     async def _answer(self, *, future: asyncio.Future[Reply], until_us: int) -> Reply | None:
         """The answer, or None where the time is up first. ConnectionError: the link is lost."""
@@ -144,11 +148,7 @@
         arrived_us = self.ctx.nowUs()
         until_us = arrived_us + route.time_limit_us - ANSWER_US
         if self._writes(statement=statement):
-            self.single_write = True
-            try:
-                return await self._write(statement=statement, route=route, until_us=until_us)
-            finally:
-                self.single_write = False
+            return await self._write(statement=statement, route=route, until_us=until_us)
         return await self._read(statement=statement, route=route, arrived_us=arrived_us, until_us=until_us)
 
     def _refused(self, *, fault: Fault) -> Reply:
@@ -409,6 +409,7 @@
         kept = False
         try:
             self._level(link=link)
+            transaction.asked = True
             future = link.begin(read_only=transaction.read_only, at_least=at_least)
             reply = await self._answer(future=future, until_us=min(until_us, asked_us + 2 * HEDGE_US))
             if reply is None:
--- a/src/cinderstair/booth/shards.py
+++ b/src/cinderstair/booth/shards.py
@@ -7,11 +7,13 @@
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
 from ..steward.service_lead import LeadState
-from ..steward.shard_state import SHARDS_KEY, ShardPhase, ShardState, Vote
-from .relayed_view import RelayedView
+from ..steward.shard_state import GIVE_UP_US, SHARDS_KEY, UNTOLD_US, ShardPhase, ShardState, Vote
+from .relayed_view import LEASE_US, RelayedView
+from .under_way import UnderWay
 
 DRAIN_US = 250_000
 UNKNOWN_US = 1_000_000
+OWED_US = 250_000
 
 
 class Shards:
@@ -21,10 +23,11 @@
     at the old place, as long as nothing that they must see can stand at the new one.
     """
 
-    def __init__(self, *, ctx: Context, view: RelayedView, busy: Callable[[frozenset[str]], bool]) -> None:
+    def __init__(self, *, ctx: Context, view: RelayedView, open_: Callable[[frozenset[str]], bool]) -> None:
         self.ctx = ctx
         self.view = view
-        self.busy = busy
+        self.open_ = open_
+        self.under_way = UnderWay(ctx=ctx)
         self.held = ShardState()
         self.heard_us = 0
         self.moved_us: dict[str, int] = {}
@@ -36,9 +39,21 @@
         if key == SHARDS_KEY:
             self.heard_us = self.ctx.nowUs()
             self.look()
+            if self.view.shards.phase == ShardPhase.closing:
+                self.ctx.spawn(work=self._give_up(turn=self.view.shards.turn), name="shards.give_up")
+
+    async def _give_up(self, *, turn: int) -> None:
+        """What is not answered by then is not waited for, since it may lie in a cut."""
+        await self.ctx.rest(waitUs=GIVE_UP_US)
+        word = self.view.shards
+        if word.turn == turn and word.phase == ShardPhase.closing:
+            self.under_way.give_up(databases=self._moving(), owed_us=GIVE_UP_US)
 
     def look(self) -> None:
-        """Takes the register's word over, if it is agreed with here."""
+        """Takes the register's word over, if it is agreed with here; once the view lapses, gives up what is owed."""
+        # why: a map may be closing and nobody here is told, and what was sent in time must not arrive out of time
+        if self.ctx.nowUs() >= self.view.as_of_us + LEASE_US:
+            self.under_way.give_up(databases=None, owed_us=OWED_US)
         word = self.view.shards
         if word.current.version == self.held.current.version:
             self.held = word
@@ -73,8 +88,15 @@
         if word.phase == ShardPhase.steady:
             return 0, Vote.silent
         if word.phase == ShardPhase.proposed:
-            return word.following.version, Vote.agrees if self._fits(state=word) else Vote.disagrees
-        return word.following.version, Vote.silent if self.busy(self._moving()) else Vote.closed
+            return word.turn, Vote.agrees if self._fits(state=word) else Vote.disagrees
+        return word.turn, Vote.silent if self._busy() else Vote.closed
+
+    def _busy(self) -> bool:
+        """Whether anything may still land at the moving databases' old places."""
+        moving, within_us = self._moving(), self.view.shards.under_way_us
+        if any(self.under_way.may_land(database=database, within_us=within_us) for database in moving):
+            return True
+        return self.ctx.nowUs() - self.heard_us < DRAIN_US and self.open_(moving)
 
     def _moving(self) -> frozenset[str]:
         word = self.view.shards
@@ -107,7 +129,8 @@
         if self._behind(database=database) or self.moved_us.get(database, since_us) > since_us:
             return False
         if word.phase == ShardPhase.steady:
-            return True
+            # why: whoever is out of touch may have missed a proposal, which stands for as long before anything closes
+            return self.ctx.nowUs() < self.view.as_of_us + LEASE_US + UNTOLD_US
         # why: with a change on its way, whoever is out of touch may have missed that it has come
         closing = word.phase == ShardPhase.closing and word.moving(database=database)
         return self.view.current and not (closing and self.ctx.nowUs() - self.heard_us >= DRAIN_US)
--- a/src/cinderstair/crier/relay_record.py
+++ b/src/cinderstair/crier/relay_record.py
@@ -21,9 +21,9 @@
 class RelayQuestion:
     """`source` and `edition` say what the asker has; a source of 0 asks for everything.
 
-    `vote` is what the booth says of the shard map of that version. `samples` are told to this source alone, by
-    whose clock their moments are; `wanted` are those that the booth would be told. A `brief` question is about
-    the age and the source alone.
+    `vote` is what the booth says of the shard map that was proposed in that turn. `samples` are told to this source
+    alone, by whose clock their moments are; `wanted` are those that the booth would be told. A `brief` question is
+    about the age and the source alone.
     """
 
     booth: str
@@ -31,7 +31,7 @@
     source: int = 0
     edition: int = 0
     troubled: tuple[str, ...] = ()
-    version: int = 0
+    turn: int = 0
     vote: Vote = Vote.silent
     samples: tuple[ToldSample, ...] = ()
     wanted: tuple[WantedSample, ...] = ()
@@ -40,7 +40,7 @@
     def write(self, *, packer: Packer) -> Packer:
         packer.text(value=self.booth).text(value=self.site).u64(value=self.source).u64(value=self.edition)
         packer.many(values=self.troubled, each=lambda p, name: p.text(value=name))
-        packer.u64(value=self.version).u8(value=self.vote)
+        packer.u64(value=self.turn).u8(value=self.vote)
         packer.many(values=self.samples, each=lambda p, sample: sample.write(packer=p))
         packer.many(values=self.wanted, each=lambda p, want: want.write(packer=p))
         return packer.u8(value=int(self.brief))
@@ -53,7 +53,7 @@
         source=unpacker.u64(),
         edition=unpacker.u64(),
         troubled=tuple(unpacker.many(each=lambda u: u.text())),
-        version=unpacker.u64(),
+        turn=unpacker.u64(),
         vote=Vote(unpacker.u8()),
         samples=tuple(unpacker.many(each=read_told_sample)),
         wanted=tuple(unpacker.many(each=read_wanted_sample)),
--- a/src/cinderstair/fairground/platformsim/lead_trials.py
+++ b/src/cinderstair/fairground/platformsim/lead_trials.py
@@ -325,7 +325,7 @@
 
 
 def primary_cut_from_booths(world: PlatformWorld) -> None:
-    """Some booths can't reach a primary that all guildhalls and the other booths reach: no lead moves, all is served."""
+    """Some booths can't reach a primary that all others reach: no lead moves, and all is served."""
     world.advance(for_ms=1_500)
     old, promotions = world.primary(), len(world.platform.calls)
     cut = world.luck.sample(world.booths, len(world.booths) // 2)
--- a/src/cinderstair/fairground/platformsim/platform_client.py
+++ b/src/cinderstair/fairground/platformsim/platform_client.py
@@ -41,6 +41,7 @@
         long: bool,
         write_share: float,
         transaction_share: float,
+        pauses_us: tuple[int, ...],
         answered: Callable[[str, int, str], None],
         dropped: Callable[[str, int, str], None],
     ) -> None:
@@ -57,6 +58,7 @@
         self.long = long
         self.write_share = write_share
         self.transaction_share = transaction_share
+        self.pauses_us = pauses_us
         self.answered = answered
         self.dropped = dropped
         self.stopped = False
@@ -109,7 +111,7 @@
         count = self.luck.randrange(1, 5)
         for number in range(count):
             kind, text, _ = self._statement(writes=writes and (number == 0 or self.luck.random() < 0.5))
-            steps.append((kind, text, self.luck.choice((0, 0, 20_000, 60_000, 150_000))))
+            steps.append((kind, text, self.luck.choice(self.pauses_us)))
         fate = self.luck.random()
         if fate < 0.03:
             steps.append(("leave", b"", 30_000))
--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -6,7 +6,7 @@
 from ...booth.router import CONTROL_LINKS
 from . import config_trials, few_links_trials, lead_trials, machine_trials, mixed_trials, shard_trials
 from .platform_verdict import PlatformVerdict
-from .platform_world import PlatformWorld
+from .platform_world import PAUSES_US, PlatformWorld
 from .referee import DRAIN_US
 from .repository import see_adapter
 from .stream_fabric import REGION_US
@@ -28,6 +28,8 @@
     max_links: int = 60
     region_us: int = REGION_US
     drain_us: int = DRAIN_US
+    write_share: float = 0.4
+    pauses_us: tuple[int, ...] = PAUSES_US
 
 
 TRIALS: dict[str, Trial] = {
@@ -111,6 +113,46 @@
         Trial(shard_trials.shards_holder_killed, ("SHARD",)),
         Trial(shard_trials.shards_two_operators, ("SHARD",)),
         Trial(shard_trials.shards_with_a_crash, ("SHARD",)),
+        Trial(
+            shard_trials.shards_long_transaction,
+            ("SHARD",),
+            clients=24,
+            write_share=0.8,
+            transaction_share=0.8,
+            pauses_us=(0, 1_800_000),
+        ),
+        Trial(
+            shard_trials.shards_commit_held_up,
+            ("SHARD",),
+            clients=24,
+            think_us=30_000,
+            write_share=0.9,
+            transaction_share=0.0,
+        ),
+        Trial(
+            shard_trials.shards_commit_held_up_deaf,
+            ("SHARD",),
+            clients=24,
+            think_us=30_000,
+            write_share=0.9,
+            transaction_share=0.0,
+        ),
+        Trial(
+            shard_trials.shards_commit_held_up_frozen,
+            ("SHARD",),
+            clients=24,
+            think_us=30_000,
+            write_share=0.9,
+            transaction_share=0.0,
+        ),
+        Trial(
+            shard_trials.shards_commit_held_up_killed,
+            ("SHARD",),
+            clients=24,
+            think_us=30_000,
+            write_share=0.9,
+            transaction_share=0.0,
+        ),
     )
 }
 
@@ -159,7 +201,13 @@
         # why: what is dealt for the first time is taken a while after the last booth has its id and its place
         world.advance(for_ms=3_000 if trial.booths > trial.max_links - CONTROL_LINKS else 0)
         count = trial.clients if clients is None else clients
-        world.clients_begin(count=count, think_us=trial.think_us, transaction_share=trial.transaction_share)
+        world.clients_begin(
+            count=count,
+            think_us=trial.think_us,
+            transaction_share=trial.transaction_share,
+            write_share=trial.write_share,
+            pauses_us=trial.pauses_us,
+        )
         # why: where nothing is acknowledged yet, nothing can be lost
         world.await_that(
             test=lambda: not count or all(len(service.acked) > 2 for service in world.services.values()),
--- a/src/cinderstair/fairground/platformsim/platform_world.py
+++ b/src/cinderstair/fairground/platformsim/platform_world.py
@@ -34,6 +34,7 @@
 AGAIN_US = 600_000
 TICK_S = 0.1
 SLACK_US = 200_000
+PAUSES_US = (0, 0, 20_000, 60_000, 150_000)
 PORTS = {"front": 9001, "ready": 9002, "control": 9003, "records": 9100, "backend": 9200, "platform": 9300}
 SORTS = (("primary", 0), ("recent_enough", 1_200), ("self_hosted", 2_000))
 
@@ -513,7 +514,13 @@
         self.advance(for_ms=1_200)
 
     def clients_begin(
-        self, *, count: int, think_us: int = 280_000, write_share: float = 0.4, transaction_share: float = 0.3
+        self,
+        *,
+        count: int,
+        think_us: int = 280_000,
+        write_share: float = 0.4,
+        transaction_share: float = 0.3,
+        pauses_us: tuple[int, ...] = PAUSES_US,
     ) -> None:
         """Two thirds of them with long sessions."""
         names = sorted(self.databases)
@@ -537,6 +544,7 @@
                 long=number // len(ZONES) % 3 != 2,
                 write_share=0.0 if reads_only else write_share,
                 transaction_share=transaction_share,
+                pauses_us=pauses_us,
                 answered=self.answered,
                 dropped=self.dropped,
             )
--- a/src/cinderstair/fairground/platformsim/referee.py
+++ b/src/cinderstair/fairground/platformsim/referee.py
@@ -108,6 +108,7 @@
         """A backend appends to its log."""
         for asked in entry.writes:
             self.entries_by_commit[asked.ident] = entry
+        self.shard.committed(entry=entry)
 
     def promoted(self, *, backend: "StandInBackend", lost: list[LogEntry]) -> None:
         service = backend.service
--- a/src/cinderstair/fairground/platformsim/shard_checker.py
+++ b/src/cinderstair/fairground/platformsim/shard_checker.py
@@ -51,6 +51,17 @@
         late = moved_us is not None and entry.service == source and entry.at_us > moved_us
         self.judge(fine=not late, what=f"{writes[0].ident!r} lands at {source} after {database} has left it")
 
+    def committed(self, *, entry: LogEntry) -> None:
+        """Whatever a backend appends, whether or not its client is ever told."""
+        for asked in entry.writes:
+            database = asked.attempt.database
+            if database not in self.places or entry.late:
+                continue
+            moved_us = self.moved_us.get(database)
+            # why: where the old place takes anything after the new one has begun, two places take writes in one epoch
+            fine = moved_us is None or entry.service != self.places[database][0] or entry.at_us <= moved_us
+            self.judge(fine=fine, what=f"{asked.ident!r} of {database} lands at {entry.service} after it has left")
+
     def ran(self, *, asked: Asked, backend: "StandInBackend", sort: str, age_us: int) -> None:
         """A read of a database that moves, or has moved."""
         database = asked.attempt.database
--- a/src/cinderstair/fairground/platformsim/shard_trials.py
+++ b/src/cinderstair/fairground/platformsim/shard_trials.py
@@ -1,5 +1,10 @@
 """Trials in which the shard map changes under traffic."""
 
+from collections.abc import Callable
+from contextlib import ExitStack
+from unittest.mock import AsyncMock, patch
+
+from ...booth.relayed_view import LEASE_US
 from ...charter.shard_map import ShardMap
 from ...steward.shard_state import ShardPhase
 from .platform_world import PlatformWorld
@@ -158,3 +163,104 @@
     world.advance(for_ms=6_000)
     world.await_that(test=world.serves, within_ms=20_000, what="the service is back")
     world.advance(for_ms=3_000)
+
+
+def lies_held_up(*, world: PlatformWorld, booth: str, backend: str) -> bool:
+    """Whether a write or commit of a database that moves lies unsent, or unheard, on the way to a backend."""
+    referee = world.referee
+    lines = [
+        line.split(b" ")
+        for end in world.fabric.ends.get(booth, {})
+        if end.peer.host == backend
+        for segment in end.outbox
+        for line in segment.data.split(b"\r\n")
+        if line.startswith(b"ASK ")
+    ]
+    asked = [referee.asked.get(fields[1]) for fields in lines]
+    return any(
+        each is not None
+        and each.attempt.database in referee.shard.places
+        and (each.kind == "commit" or (each.kind == "write" and each.alone))
+        for each in asked
+    )
+
+
+def await_held_up(*, world: PlatformWorld, booth: str, backend: str) -> None:
+    world.await_that(
+        test=lambda: lies_held_up(world=world, booth=booth, backend=backend),
+        within_ms=1_000,
+        what="a write lies held up",
+    )
+
+
+def held_up(
+    *, world: PlatformWorld, also_deaf: bool = False, then: Callable[[str], None] = lambda name: None
+) -> None:
+    """What one booth sends to the old place just before it closes lies in a cut until after the switch."""
+    world.advance(for_ms=1_000)
+    booth, old = world.booths[0], world.primary(service="ledger0").name
+    duties = [world.roles[name].guildhall.shards for name in world.guildhalls]
+    assert not propose(world=world)
+    with ExitStack() as stack:
+        # why: what is to lie held up must leave right before the closing, so the closing waits for it
+        for duty in duties:
+            stack.enter_context(patch.object(duty, "_count", AsyncMock()))
+        world.advance(for_ms=2_300)
+        if not also_deaf:
+            world.cut(ones=[booth], others=[old])
+            await_held_up(world=world, booth=booth, backend=old)
+    if also_deaf:
+        world.cut(ones=[booth], others=world.guildhalls)
+        view = world.roles[booth].booth.view
+        lapses_us = LEASE_US - world.luck.randrange(150_000, 250_000)
+        world.await_that(
+            test=lambda: view.ctx.nowUs() >= view.as_of_us + lapses_us, within_ms=2_000, what="its view nearly lapses"
+        )
+        world.cut(ones=[booth], others=[old])
+        await_held_up(world=world, booth=booth, backend=old)
+    world.await_that(test=lambda: duties[0].state.phase == ShardPhase.closing, within_ms=4_000, what="it closes")
+    then(booth)
+    world.await_that(test=lambda: bool(world.referee.shard.moved_us), within_ms=9_000, what="all is brought over")
+    world.advance(for_ms=world.luck.randrange(50, 400))
+    world.heal()
+    world.advance(for_ms=3_000)
+
+
+def shards_commit_held_up(world: PlatformWorld) -> None:
+    """A booth in touch whose way to the old place is cut, and only that."""
+    held_up(world=world)
+    moved(world=world)
+
+
+def shards_commit_held_up_deaf(world: PlatformWorld) -> None:
+    """The same at a booth that hears of no closing, and whose clients wait for long."""
+    world.put(body=world.configuration(version=9, give_up_ms=2_400))
+    world.advance(for_ms=1_500)
+    held_up(world=world, also_deaf=True)
+    moved(world=world)
+
+
+def shards_long_transaction(world: PlatformWorld) -> None:
+    """A booth that hears of nothing, with transactions that began long before the change and end after it."""
+    world.advance(for_ms=2_000)
+    deaf = world.booths[0]
+    world.cut(ones=[deaf], others=world.guildhalls)
+    world.advance(for_ms=world.luck.randrange(0, 300))
+    assert not propose(world=world)
+    world.await_that(test=lambda: bool(world.referee.shard.moved_us), within_ms=15_000, what="all is brought over")
+    world.advance(for_ms=3_000)
+    world.heal()
+    moved(world=world, within_ms=10_000)
+
+
+def shards_commit_held_up_frozen(world: PlatformWorld) -> None:
+    """The same at a booth that then stands still, so that only its machine can give the bytes up."""
+    held_up(world=world, then=lambda name: world.freeze(name=name))
+    world.thaw(name=world.booths[0])
+    moved(world=world, within_ms=10_000)
+
+
+def shards_commit_held_up_killed(world: PlatformWorld) -> None:
+    """The same at a booth that is then killed, so that its machine alone is left to send them."""
+    held_up(world=world, then=lambda name: world.kill(name=name))
+    moved(world=world, within_ms=10_000)
--- a/src/cinderstair/fairground/platformsim/shards.feature
+++ b/src/cinderstair/fairground/platformsim/shards.feature
@@ -26,6 +26,14 @@
       | shards_two_operators | 95    | 1     | 1    |
       | shards_with_a_crash  | 90    | 1     | 2    |
 
+    Examples: what left in time must not arrive out of time
+      | trial                        | share | first | last |
+      | shards_commit_held_up        | 98    | 1     | 1    |
+      | shards_commit_held_up_deaf   | 98    | 3     | 3    |
+      | shards_commit_held_up_frozen | 98    | 1     | 1    |
+      | shards_commit_held_up_killed | 98    | 1     | 1    |
+      | shards_long_transaction      | 65    | 2     | 3    |
+
   Scenario Outline: <fault> is seen in <trial>
     When the platform trial <trial> is played with seed <seed> and the fault <fault>
     Then the rule <rule> was seen broken: "<words>"
--- a/src/cinderstair/fairground/platformsim/sim_transport.py
+++ b/src/cinderstair/fairground/platformsim/sim_transport.py
@@ -45,6 +45,7 @@
         self.resend_s = RESEND_S
         self.stalled_since: float | None = None
         self.patience_s: float | None = None
+        self.resets_at_end = False
         self.inbox: list[bytes] = []
         self.in_bytes = 0
         self.in_ended = False
@@ -56,7 +57,7 @@
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         if name == "socket":
-            return SimSocket(set_patience=self._set_patience)
+            return SimSocket(set_patience=self._set_patience, set_linger=self._set_linger)
         return default
 
     def is_closing(self) -> bool:
@@ -73,6 +74,9 @@
     def close(self) -> None:
         if self.closing:
             return
+        if self.resets_at_end:
+            self.abort()
+            return
         self.closing = True
         # why: an end with bytes that were never read is a reset to the other side
         self._send(data=b"", ends=not self.inbox, resets=bool(self.inbox))
@@ -82,7 +86,9 @@
         if self.gone:
             return
         self.closing = True
-        self._drop()
+        # why: asyncio drops only what it holds itself; what the machine has taken over is dropped by a reset alone
+        if self.boot is None or self.resets_at_end:
+            self._drop()
         self._send(data=b"", resets=True)
         self.fabric.loop.call_soon(self._lost, None, context=self.context)
 
@@ -115,6 +121,9 @@
     def _set_patience(self, patience_s: float) -> None:
         self.patience_s = patience_s
 
+    def _set_linger(self, resets: bool) -> None:
+        self.resets_at_end = resets
+
     def _drop(self) -> None:
         self.outbox.clear()
         self.out_bytes = 0
@@ -138,6 +147,8 @@
 
     def perish(self, *, silently: bool) -> None:
         """The process is no more; unless power went with it, its system resets the connection."""
+        if self.resets_at_end:
+            self._drop()
         if not silently and not (self.closing and not self.outbox):
             self._send(data=b"", resets=True)
         elif silently:
--- a/src/cinderstair/guildhall/booth_census.py
+++ b/src/cinderstair/guildhall/booth_census.py
@@ -19,10 +19,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Seen:
-    """`version` is the map that the vote is about."""
+    """`turn` is the proposal that the vote is about."""
 
     at_us: int
-    version: int
+    turn: int
     vote: Vote
 
 
@@ -77,8 +77,8 @@
     async def gather(self, *, every_us: int) -> dict[str, Seen]:
         """What is known of all booths; the other guildhalls are asked no more often than given."""
         now_us = self.ctx.nowUs()
-        for name, age_us, version, vote in self.relay.seen(within_us=WITHIN_US):
-            self._take(name=name, seen=Seen(at_us=now_us - age_us, version=version, vote=vote))
+        for name, age_us, turn, vote in self.relay.seen(within_us=WITHIN_US):
+            self._take(name=name, seen=Seen(at_us=now_us - age_us, turn=turn, vote=vote))
         if now_us - self.asked_us >= every_us:
             self.asked_us = now_us
             await self._ask(now_us=now_us)
@@ -96,9 +96,9 @@
             except ValueError:
                 self.ctx.counters.add(name="records.malformed")
                 continue
-            for name, age_us, version, vote in entries:
+            for name, age_us, turn, vote in entries:
                 # why: the answer may have lain anywhere since the asking, so its age counts from there
-                self._take(name=name, seen=Seen(at_us=now_us - age_us, version=version, vote=vote))
+                self._take(name=name, seen=Seen(at_us=now_us - age_us, turn=turn, vote=vote))
 
     async def gather_places(self, *, every_us: int) -> dict[str, BoothPlace]:
         """Where booths said lately that they are; the other guildhalls are asked no more often than given."""
--- a/src/cinderstair/guildhall/relay.py
+++ b/src/cinderstair/guildhall/relay.py
@@ -89,7 +89,7 @@
             return RelayAnswer(
                 source=self.source, edition=self.edition, age_us=self._age_us(), whole=False, site=self.ctx.site
             ).bytes()
-        self.booths[question.booth] = (self.ctx.nowUs(), question.version, question.vote)
+        self.booths[question.booth] = (self.ctx.nowUs(), question.turn, question.vote)
         for name in question.troubled:
             self.on_trouble(name, question.booth)
         same_life = question.source == self.source
@@ -125,12 +125,12 @@
         return RelayedValue(key=key, ballot=found.ballot, value=self.shorten(key, found.value))
 
     def seen(self, *, within_us: int) -> list[tuple[str, int, int, Vote]]:
-        """The booths that asked lately: how long ago, and how they vote on the shard map of which version."""
+        """The booths that asked lately: how long ago, and how they vote on which proposal of a shard map."""
         now_us = self.ctx.nowUs()
         self.booths = {name: entry for name, entry in self.booths.items() if now_us - entry[0] < KEEP_US}
         return [
-            (name, now_us - at_us, version, vote)
-            for name, (at_us, version, vote) in self.booths.items()
+            (name, now_us - at_us, turn, vote)
+            for name, (at_us, turn, vote) in self.booths.items()
             if now_us - at_us <= within_us
         ]
 
--- a/src/cinderstair/steward/shard_duty.py
+++ b/src/cinderstair/steward/shard_duty.py
@@ -1,6 +1,7 @@
 """The duty of bringing in a new shard map: agreed on by enough booths, then taken by all together."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Protocol
 
 from expression import Error, Ok, Result
@@ -13,7 +14,16 @@
 from ..vault.lease import Lease
 from ..vault.register import Found, Register
 from ..vault.register_view import RegisterView
-from .shard_state import SHARDS_KEY, ShardPhase, ShardState, Vote, read_shard_state
+from .shard_state import (
+    GIVE_UP_US,
+    SHARDS_KEY,
+    UNDER_WAY_US,
+    UNTOLD_US,
+    ShardPhase,
+    ShardState,
+    Vote,
+    read_shard_state,
+)
 from .slots import SLOTS_KEY, readSlots
 
 TICK_US = 150_000
@@ -21,8 +31,6 @@
 SEEN_US = 3_000_000
 PROPOSED_MOST_US = 30_000_000
 CLOSING_MOST_US = 5_000_000
-# why: a commit that left just before its booth had to stop may be under way for as long as a route lets it be
-UNDER_WAY_US = 1_500_000
 EXPECTED_US = 900_000
 
 
@@ -33,7 +41,7 @@
     def at_us(self) -> int: ...
 
     @property
-    def version(self) -> int: ...
+    def turn(self) -> int: ...
 
     @property
     def vote(self) -> Vote: ...
@@ -64,6 +72,7 @@
         planned: Planned,
         handover: Handover | None,
         lease_us: int,
+        under_way_us: int = UNDER_WAY_US,
     ) -> None:
         self.ctx = ctx
         self.register = register
@@ -71,7 +80,8 @@
         self.census = census
         self.planned = planned
         self.handover = handover
-        self.outwait_us = lease_us + lease_us // 10 + UNDER_WAY_US
+        self.lease_us = lease_us
+        self.under_way_us = under_way_us
         self.lease = Lease(ctx=ctx, register=register, duty=SHARD_DUTY, seekers=lambda: 3)
         self.state = ShardState()
         self.since_us = 0
@@ -101,7 +111,14 @@
             # why: the same map may be put again, by whoever had no clear answer the first time
             if wanted in (state.current, state.following):
                 return Ok(data)
-            return Ok(ShardState(phase=ShardPhase.proposed, current=state.current, following=wanted).bytes())
+            new = ShardState(
+                phase=ShardPhase.proposed,
+                current=state.current,
+                following=wanted,
+                turn=state.turn + 1,
+                under_way_us=self.under_way_us,
+            )
+            return Ok(new.bytes())
 
         result = await self.register.change(key=SHARDS_KEY, decide=decide)
         self.view.takeOwn(key=SHARDS_KEY, result=result)
@@ -144,13 +161,18 @@
         else:
             await self._move(booths=booths)
 
+    @property
+    def outwait_us(self) -> int:
+        """After so long nothing that left under the older word takes effect any more, whoever sent it."""
+        return self.lease_us + self.lease_us // 10 + GIVE_UP_US + self.state.under_way_us
+
     def _votes(self, *, booths: dict[str, Ballots], vote: Vote) -> set[str]:
         """The booths that were seen lately and say this of the next map."""
-        now_us, version = self.ctx.nowUs(), self.state.following.version
+        now_us, turn = self.ctx.nowUs(), self.state.turn
         return {
             name
             for name, seen in booths.items()
-            if now_us - seen.at_us < SEEN_US and seen.version == version and seen.vote == vote
+            if now_us - seen.at_us < SEEN_US and seen.turn == turn and seen.vote == vote
         }
 
     def _named(self) -> set[str]:
@@ -161,20 +183,19 @@
         self.reason = why
         self.ctx.log.warning("shards: map %d is withdrawn: %s", self.state.following.version, why)
         self.ctx.counters.add(name="shards.withdrawn")
-        await self._put(new=ShardState(current=self.state.current))
+        state = self.state
+        await self._put(
+            new=ShardState(current=state.current, turn=state.turn, under_way_us=state.under_way_us, why=why)
+        )
 
     async def _count(self, *, booths: dict[str, Ballots]) -> None:
         """From proposed to closing, once enough of all booths that have a slot agree."""
         named = self._named()
         agree = self._votes(booths=booths, vote=Vote.agrees) & named
         if named and 100 * len(agree) >= self.state.following.agree_percent * len(named):
-            state = ShardState(
-                phase=ShardPhase.closing,
-                current=self.state.current,
-                following=self.state.following,
-                ready_in_us=EXPECTED_US,
-            )
-            await self._put(new=state)
+            # why: a booth that has not heard of it by then has lost its right to end what it had begun
+            if self.ctx.nowUs() - self.since_us >= UNTOLD_US:
+                await self._put(new=replace(self.state, phase=ShardPhase.closing, ready_in_us=EXPECTED_US))
         elif self.ctx.nowUs() - self.since_us > PROPOSED_MOST_US:
             await self._back(why=f"{len(agree)} of {len(named)} booths agree")
 
@@ -188,7 +209,8 @@
         if (unheard or not self._named() <= closed) and waited_us < self.outwait_us:
             return
         if await self._complete():
-            await self._put(new=ShardState(current=self.state.following))
+            state = self.state
+            await self._put(new=ShardState(current=state.following, turn=state.turn, under_way_us=state.under_way_us))
             self.ctx.counters.add(name="shards.moved")
         elif waited_us > self.outwait_us + CLOSING_MOST_US:
             await self._back(why="the new place does not hold everything")
--- a/src/cinderstair/steward/shard_state.py
+++ b/src/cinderstair/steward/shard_state.py
@@ -8,6 +8,11 @@
 from ..pitch.unpacker import Unpacker
 
 SHARDS_KEY = "shards"
+# why: a booth that has heard nothing lately ends what may end within this time, so a proposal stands at least as long
+UNTOLD_US = 2_000_000
+# why: a booth that must stop gives up by then what is not answered, so whoever waits for it adds this
+GIVE_UP_US = 500_000
+UNDER_WAY_US = 3_000_000
 
 
 class ShardPhase(IntEnum):
@@ -29,10 +34,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ShardState:
+    """`turn` counts the proposals, and votes are about one of them: a map that was given up may be put again.
+
+    `under_way_us`: for how long what has left may still take effect after its link was lost; in the word, so that
+    all reckon with the same. `why` is what became of the last proposal, where it was withdrawn.
+    """
+
     phase: ShardPhase = ShardPhase.steady
     current: ShardMap = field(default_factory=ShardMap)
     following: ShardMap = field(default_factory=ShardMap)
     ready_in_us: int = 0
+    turn: int = 0
+    under_way_us: int = UNDER_WAY_US
+    why: str = ""
 
     def moving(self, *, database: str) -> bool:
         """Whether a database's place differs between the two maps. One that neither names stays where it is."""
@@ -44,7 +58,8 @@
         packer = Packer().u8(value=self.phase)
         self.current.write(packer=packer)
         self.following.write(packer=packer)
-        return packer.u64(value=self.ready_in_us).bytes()
+        packer.u64(value=self.ready_in_us).u64(value=self.turn).u64(value=self.under_way_us)
+        return packer.text(value=self.why).bytes()
 
 
 def read_shard_state(*, data: bytes) -> ShardState:
@@ -54,6 +69,14 @@
     unpacker = Unpacker(data=data)
     phase = ShardPhase(unpacker.u8())
     current, following = read_shard_map(unpacker=unpacker), read_shard_map(unpacker=unpacker)
-    state = ShardState(phase=phase, current=current, following=following, ready_in_us=unpacker.u64())
+    state = ShardState(
+        phase=phase,
+        current=current,
+        following=following,
+        ready_in_us=unpacker.u64(),
+        turn=unpacker.u64(),
+        under_way_us=unpacker.u64(),
+        why=unpacker.text(),
+    )
     unpacker.done()
     return state
--- a/steps/citizensteps.py
+++ b/steps/citizensteps.py
@@ -995,6 +995,16 @@
     assert (context.protocol.open, context.lost) == (word == "open", count), (context.protocol.open, context.lost)
 
 
+@when("the link is closed here")
+def when_closed_here(context: Any) -> None:
+    context.stage.call(call=context.protocol.close)
+
+
+@then("its connection {ends}")
+def then_ends(context: Any, ends: str) -> None:
+    assert context.transport.closing and context.transport.aborted == (ends == "is reset"), ends
+
+
 @then('the link holds the values "{values}" and has prepared "{prepared}"')
 def then_holds(context: Any, values: str, prepared: str) -> None:
     link: BackendLink = context.protocol
--- a/steps/stage.py
+++ b/steps/stage.py
@@ -108,6 +108,7 @@
         self.deaf = deaf
         self.closing = False
         self.paused = False
+        self.aborted = False
         protocol.connection_made(self)
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
@@ -133,6 +134,10 @@
     def close(self) -> None:
         self.lose(error=None)
 
+    def abort(self) -> None:
+        self.aborted = True
+        self.lose(error=None)
+
     def lose(self, *, error: Exception | None) -> None:
         if not self.closing:
             self.closing = True
