A step of the shard map's duty rests on the word that it was decided on

Cause: the duty awaited the handover and only then read the word that it stepped on from. Where another holder had finished meanwhile and its lease was free again, the next holder's compare-and-set held the new word against the new word, and put the map "that follows" it: none. All moved databases went back to their old places, with every write that the new ones had acknowledged since.

Change: the word is taken once, and a step names it; what came in meanwhile ends the step.

--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -113,6 +113,7 @@
         Trial(shard_trials.shards_holder_killed, ("SHARD",)),
         Trial(shard_trials.shards_two_operators, ("SHARD",)),
         Trial(shard_trials.shards_with_a_crash, ("SHARD",)),
+        Trial(shard_trials.shards_slow_handover, ("SHARD",)),
         Trial(
             shard_trials.shards_long_transaction,
             ("SHARD",),
--- a/src/cinderstair/fairground/platformsim/shard_faults.py
+++ b/src/cinderstair/fairground/platformsim/shard_faults.py
@@ -25,9 +25,9 @@
 def moves_unclosed() -> list[Any]:
     """The map changes while booths still write at the old place: nothing is closed, nobody is outwaited."""
 
-    async def move(self: Any, *, booths: Any) -> None:
-        if await self._complete():
-            await self._put(new=type(self.state)(current=self.state.following))
+    async def move(self: Any, *, state: Any, booths: Any) -> None:
+        if await self._complete(state=state):
+            await self._put(old=state, new=type(state)(current=state.following, turn=state.turn))
 
     return [
         patch.object(ShardDuty, "_move", move),
--- a/src/cinderstair/fairground/platformsim/shard_trials.py
+++ b/src/cinderstair/fairground/platformsim/shard_trials.py
@@ -165,6 +165,16 @@
     world.advance(for_ms=3_000)
 
 
+def shards_slow_handover(world: PlatformWorld) -> None:
+    """Whoever brings the data takes its time to answer, so that another may hold the duty by then."""
+    world.advance(for_ms=500)
+    world.handover.takes_us = world.luck.randrange(50_000, 150_000)
+    assert not propose(world=world)
+    moved(world=world)
+    world.advance(for_ms=2_500)
+    assert all_hold(world=world, version=1), "a map that was taken over went back by itself"
+
+
 def lies_held_up(*, world: PlatformWorld, booth: str, backend: str) -> bool:
     """Whether a write or commit of a database that moves lies unsent, or unheard, on the way to a backend."""
     referee = world.referee
--- a/src/cinderstair/fairground/platformsim/shards.feature
+++ b/src/cinderstair/fairground/platformsim/shards.feature
@@ -25,6 +25,7 @@
       | shards_holder_killed | 93    | 1     | 2    |
       | shards_two_operators | 95    | 1     | 1    |
       | shards_with_a_crash  | 90    | 1     | 2    |
+      | shards_slow_handover | 97    | 9     | 12   |
 
     Examples: what left in time must not arrive out of time
       | trial                        | share | first | last |
--- a/src/cinderstair/fairground/platformsim/stand_in_handover.py
+++ b/src/cinderstair/fairground/platformsim/stand_in_handover.py
@@ -1,5 +1,7 @@
 """Whoever brings a database's data from one service to another, as the product's Handover."""
 
+import asyncio
+
 from .log_entry import LogEntry
 from .referee import Referee
 from .stand_in_service import StandInService
@@ -12,11 +14,13 @@
         self.services = services
         self.referee = referee
         self.stuck = False
+        self.takes_us = 0
         self.asked = 0
         self.open: set[int] = set()
 
     async def complete(self, *, database: str, source: str, target: str) -> bool:
         self.asked += 1
+        await asyncio.sleep(self.takes_us / 1_000_000)
         old, new = self.services[source].primary, self.services[target].primary
         if self.stuck or old is None or new is None:
             return False
--- a/src/cinderstair/steward/shard_duty.py
+++ b/src/cinderstair/steward/shard_duty.py
@@ -124,8 +124,8 @@
         self.view.takeOwn(key=SHARDS_KEY, result=result)
         return Error(result.error) if result.is_error() else Ok(None)
 
-    async def _put(self, *, new: ShardState) -> bool:
-        old = self.state
+    async def _put(self, *, old: ShardState, new: ShardState) -> bool:
+        """`old` is the word that the step was decided on, and not what may have come in since."""
 
         def decide(data: bytes) -> Result[bytes, Fault]:
             if read_shard_state(data=data) not in (old, new):
@@ -155,11 +155,15 @@
                 self.since_us = self.ctx.nowUs()
         if not self.lease.held or not self.view.current:
             return
+        state = self.state
         booths = await self.census()
-        if self.state.phase == ShardPhase.proposed:
-            await self._count(booths=booths)
-        else:
-            await self._move(booths=booths)
+        # why: whatever is awaited, another holder's step may come in, and a step rests on one word alone
+        if state != self.state:
+            return
+        if state.phase == ShardPhase.proposed:
+            await self._count(state=state, booths=booths)
+        elif state.phase == ShardPhase.closing:
+            await self._move(state=state, booths=booths)
 
     @property
     def outwait_us(self) -> int:
@@ -179,27 +183,25 @@
         found = self.view.known.get(SLOTS_KEY)
         return {name for _, name in readSlots(data=b"" if found is None else found.value).names}
 
-    async def _back(self, *, why: str) -> None:
+    async def _back(self, *, state: ShardState, why: str) -> None:
         self.reason = why
-        self.ctx.log.warning("shards: map %d is withdrawn: %s", self.state.following.version, why)
+        self.ctx.log.warning("shards: map %d is withdrawn: %s", state.following.version, why)
         self.ctx.counters.add(name="shards.withdrawn")
-        state = self.state
-        await self._put(
-            new=ShardState(current=state.current, turn=state.turn, under_way_us=state.under_way_us, why=why)
-        )
+        new = ShardState(current=state.current, turn=state.turn, under_way_us=state.under_way_us, why=why)
+        await self._put(old=state, new=new)
 
-    async def _count(self, *, booths: dict[str, Ballots]) -> None:
+    async def _count(self, *, state: ShardState, booths: dict[str, Ballots]) -> None:
         """From proposed to closing, once enough of all booths that have a slot agree."""
         named = self._named()
         agree = self._votes(booths=booths, vote=Vote.agrees) & named
-        if named and 100 * len(agree) >= self.state.following.agree_percent * len(named):
+        if named and 100 * len(agree) >= state.following.agree_percent * len(named):
             # why: a booth that has not heard of it by then has lost its right to end what it had begun
             if self.ctx.nowUs() - self.since_us >= UNTOLD_US:
-                await self._put(new=replace(self.state, phase=ShardPhase.closing, ready_in_us=EXPECTED_US))
+                await self._put(old=state, new=replace(state, phase=ShardPhase.closing, ready_in_us=EXPECTED_US))
         elif self.ctx.nowUs() - self.since_us > PROPOSED_MOST_US:
-            await self._back(why=f"{len(agree)} of {len(named)} booths agree")
+            await self._back(state=state, why=f"{len(agree)} of {len(named)} booths agree")
 
-    async def _move(self, *, booths: dict[str, Ballots]) -> None:
+    async def _move(self, *, state: ShardState, booths: dict[str, Ballots]) -> None:
         """From closing to steady under the new map, once nobody writes at the old places any more."""
         waited_us = self.ctx.nowUs() - self.since_us
         closed = self._votes(booths=booths, vote=Vote.closed)
@@ -208,18 +210,18 @@
         unheard = {name for name, seen in booths.items() if self.ctx.nowUs() - seen.at_us < SEEN_US} - closed
         if (unheard or not self._named() <= closed) and waited_us < self.outwait_us:
             return
-        if await self._complete():
-            state = self.state
-            await self._put(new=ShardState(current=state.following, turn=state.turn, under_way_us=state.under_way_us))
-            self.ctx.counters.add(name="shards.moved")
+        if await self._complete(state=state):
+            new = ShardState(current=state.following, turn=state.turn, under_way_us=state.under_way_us)
+            if await self._put(old=state, new=new):
+                self.ctx.counters.add(name="shards.moved")
         elif waited_us > self.outwait_us + CLOSING_MOST_US:
-            await self._back(why="the new place does not hold everything")
+            await self._back(state=state, why="the new place does not hold everything")
 
-    async def _complete(self) -> bool:
+    async def _complete(self, *, state: ShardState) -> bool:
         assert self.handover is not None
-        old, new = self.state.current, self.state.following
+        old, new = state.current, state.following
         for database in sorted(set(old.places) | set(new.places)):
-            if not self.state.moving(database=database):
+            if not state.moving(database=database):
                 continue
             planned = self.planned(database)
             source = old.place(database=database, planned=planned)
