Operators plan, begin, watch and abandon a change of the shard map

Cause: a map could be put and looked at; nobody told beforehand what it would lose or how long writes would wait, a change could be neither followed nor given up, and a map that named a database twice quietly kept the last place.

- shards plan: a dry run against the configuration and the map in force; reasons with their lines; the pause foretold from what the last change took here, or worked out, and what it is with a booth silent.
- shards begin: the same checks, then the map is put. shards and shards FILE stay; FILE is checked as much.
- shards watch: phase and votes until it stands, is withdrawn (with why), or the time given is up.
- shards abandon: a compare-and-set on the version that is on its way, proposed or closing, never after.
- A database that has moved must be named by the next map: where a map is silent the plan's word holds, and the database's data is not there.
- Setting underWayUs (3 s by default, 2.5 s at least): for how long what has left may still take effect.

--- a/src/cinderstair/__main__.py
+++ b/src/cinderstair/__main__.py
@@ -18,6 +18,7 @@
     SubmitVerb,
 )
 from .counter.roleverb import StallVerb, VaultVerb
+from .counter.shardverbs import ShardsAbandonVerb, ShardsBeginVerb, ShardsPlanVerb, ShardsWatchVerb
 from .counter.simulateverb import SimulateVerb
 
 USAGE = 2
@@ -39,6 +40,10 @@
         FormatVerb,
         SimulateVerb,
         ShardsVerb,
+        ShardsPlanVerb,
+        ShardsBeginVerb,
+        ShardsWatchVerb,
+        ShardsAbandonVerb,
         GuildhallVerb,
     ):
         app.add(verb())
--- a/src/cinderstair/charter/shard_map.feature
+++ b/src/cinderstair/charter/shard_map.feature
@@ -20,6 +20,21 @@
       | {"version": 1, "places": {}, "more": 1}                           | refused: /more                 |
       | ["version"]                                                       | refused: /: not an object      |
       | {"version": 1, "places": {"a                                      | refused: not JSON              |
+      | {"version": 1, "places": {"a": "s", "a": "t"}}                    | refused: line 1: 'a' is named twice |
+
+  Scenario Outline: A map is held against the configuration and the map in force: <why>
+    Given databases "a, b, c", services "s, t", and a map in force with "<stands>"
+    When the places "<places>", each on a line of its own, are checked
+    Then the reasons are "<why>"
+
+    Examples:
+      | stands | places         | why                                                              |
+      |        | a: t           | none                                                             |
+      | a: t   | a: t, b: t     | none                                                             |
+      | a: t   | b: t           | 'a' is lost: map 1 has it at 't'; name its place                 |
+      |        | a: t, d: t     | line 5: 'd' is no database of configuration 7                    |
+      |        | a: u, b: t     | line 4: 'a': 'u' is no service of configuration 7                |
+      | c: t   | a: u, d: t     | 'c' is lost: map 1 has it at 't'; name its place / line 4: 'a': 'u' is no service of configuration 7 / line 5: 'd' is no database of configuration 7 |
 
   Scenario: Maps and states go through records unchanged, and what is cut short is no map
     Then 200 made-up shard states read back as they were written
--- a/src/cinderstair/charter/shard_map.py
+++ b/src/cinderstair/charter/shard_map.py
@@ -1,6 +1,8 @@
 """The shard map: which service is a database's place, where that differs from the plan's word."""
 
 import json
+import re
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -36,6 +38,28 @@
     return ShardMap(version=version, places=places, agree_percent=agree_percent)
 
 
+def line_of_name(*, text: str, name: str, nth: int = 1) -> int:
+    """The line of a document on which a name stands for the nth time; 0 where it doesn't."""
+    start = max(0, text.find('"places"'))
+    forms = {json.dumps(name), json.dumps(name, ensure_ascii=False)}
+    found = list(re.finditer("(?:" + "|".join(map(re.escape, sorted(forms))) + r")\s*:", text[start:]))
+    if len(found) < nth:
+        return 0
+    return text.count("\n", 0, start + found[nth - 1].start()) + 1
+
+
+def named_twice(*, raw: bytes) -> list[str]:
+    """The names that an object holds more than once, of which JSON would quietly keep the last."""
+    doubled: list[str] = []
+
+    def pairs(entries: list[tuple[str, Any]]) -> dict[str, Any]:
+        doubled.extend(name for name, count in Counter(name for name, _ in entries).items() if count > 1)
+        return dict(entries)
+
+    json.loads(raw, object_pairs_hook=pairs)
+    return doubled
+
+
 def broken(*, why: str) -> Result[ShardMap, Fault]:
     return Error(Fault(kind=Kind.brokenConfiguration, why=why))
 
@@ -52,6 +76,10 @@
         return broken(why=f"not JSON: {error}")
     if not isinstance(document, dict):
         return broken(why="/: not an object")
+    doubled = named_twice(raw=raw)
+    if doubled:
+        line = line_of_name(text=raw.decode(errors="replace"), name=doubled[0], nth=2)
+        return broken(why=f"line {line}: '{doubled[0]}' is named twice")
     unknown = sorted(set(document) - {"version", "places", "agree_percent"})
     if unknown:
         return broken(why=f"/{unknown[0]}: not known")
--- a/src/cinderstair/counter/controlverb.feature
+++ b/src/cinderstair/counter/controlverb.feature
@@ -13,6 +13,20 @@
       | shards MAP      | kind versionOld           | 1    | versionOld:              |
       | shards MAP      | bytes of another shape    | 1    | records address          |
       | shards MISSING  | text "never asked"        | 2    | No such file             |
+      | shards plan MAP    | text "a: from s to t"      | 0 | a: from s to t           |
+      | shards plan MAP    | kind brokenConfiguration   | 1 | brokenConfiguration:     |
+      | shards plan MISSING | text "never asked"        | 2 | No such file             |
+      | shards begin MAP   | text "put to the booths"   | 0 | put to the booths        |
+      | shards begin MAP   | kind versionTaken          | 1 | versionTaken:            |
+      | shards abandon 3   | text "map 3 is given up"   | 0 | map 3 is given up        |
+      | shards abandon 3   | kind versionOld            | 1 | versionOld:              |
+      | shards abandon x   | text "never asked"         | 2 | whole number             |
+      | shards watch 3     | progress steady, 3, ""     | 0 | steady: so it is         |
+      | shards watch 3     | progress steady, 2, "few"  | 1 | steady: so it is         |
+      | shards watch 3     | progress steady, 2, ""     | 1 | no change is on its way  |
+      | shards watch 3 --wait 1 | progress closing, 2, "" | 3 | neither in force       |
+      | shards watch 3 --wait 0 | text "never asked"    | 2 | --wait                   |
+      | shards watch 3     | bytes of another shape     | 1 | records address          |
 
   Scenario Outline: An address that is none, or at which nobody answers
     When an operator runs "<verb>" at <address>
--- a/src/cinderstair/guildhall/guildhall.py
+++ b/src/cinderstair/guildhall/guildhall.py
@@ -2,15 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from expression import Error, Ok, Result
 
 from ..charter.service_plan import PLAN_KEY, ServicePlan, plan_version, read_service_plan
-from ..charter.shard_map import check_shard_map
+from ..charter.shard_check import shard_map_troubles
+from ..charter.shard_map import ShardMap, check_shard_map
 from ..crier.announcement import Announcement, read_announcement
 from ..crier.news import News
 from ..pitch.context import Context
-from ..pitch.desks import GUILDHALL, OPINION, SHARDS, SUSPECT
+from ..pitch.desks import GUILDHALL, OPINION, SHARDS, SHARDS_ABANDON, SHARDS_PLAN, SHARDS_PROGRESS, SUSPECT
 from ..pitch.fault import Fault
 from ..pitch.kind import Kind
 from ..pitch.packer import Packer
@@ -110,10 +112,14 @@
             planned=self._planned,
             handover=self.handover,
             lease_us=self.booth_lease_us,
+            under_way_us=self.settings.underWayUs,
         )
         self.view.post(command=self.view.pull, once="view")
         self.news.begin()
         vault.desk.open(kind=SHARDS, answer=self._shards_asked)
+        vault.desk.open(kind=SHARDS_PLAN, answer=self._shards_planned)
+        vault.desk.open(kind=SHARDS_ABANDON, answer=self._shards_abandoned)
+        vault.desk.open(kind=SHARDS_PROGRESS, answer=self._shards_progress)
         vault.desk.open(kind=GUILDHALL, answer=self._status_asked)
         vault.desk.open(kind=SUSPECT, answer=self._suspected)
         vault.desk.open(kind=OPINION, answer=self._opinion)
@@ -242,11 +248,59 @@
             if found.is_error():
                 return Packer().text(value=found.error.kind.value).text(value=found.error.why).bytes()
             return Packer().text(value="").text(value=describe(state=read_shard_state(data=found.ok.value))).bytes()
-        checked = check_shard_map(raw=raw)
+        checked = self._checked(raw=raw)
         result = Error(checked.error) if checked.is_error() else await self.shards.propose(wanted=checked.ok)
-        if result.is_error():
-            return Packer().text(value=result.error.kind.value).text(value=result.error.why).bytes()
-        return Packer().text(value="").text(value="put to the booths").bytes()
+        return answered(result=result, words="put to the booths")
+
+    def _checked(self, *, raw: bytes) -> Result[ShardMap, Fault]:
+        """An operator's map, held against the configuration and the map that stand."""
+        checked = check_shard_map(raw=raw)
+        if checked.is_error():
+            return checked
+        plan = self.duty.plan
+        if plan is None:
+            return Error(Fault(kind=Kind.noConfiguration, why="no configuration has been accepted yet"))
+        text, current = raw.decode(errors="replace"), self.shards.state.current
+        troubles = shard_map_troubles(text=text, wanted=checked.ok, current=current, plan=plan)
+        if troubles:
+            return Error(Fault(kind=Kind.brokenConfiguration, why="\n".join(troubles)))
+        return checked
+
+    async def _shards_planned(self, unpacker: Unpacker) -> bytes:
+        """A dry run: nothing is put anywhere."""
+        raw = unpacker.blob()
+        unpacker.done()
+        checked = self._checked(raw=raw)
+        if checked.is_error():
+            return answered(result=checked, words="")
+        wanted, current = checked.ok, self.shards.state.current
+        if wanted.version <= current.version:
+            fault = Fault(kind=Kind.versionOld, why=f"version {current.version} stands")
+            return answered(result=Error(fault), words="")
+        lines = []
+        for database, service in sorted(wanted.places.items()):
+            now = current.place(database=database, planned=self._planned(database))
+            if now != service:
+                lines.append(f"{database}: from {now} to {service}")
+        foreseen = await self.shards.forecast()
+        lines.append(foreseen.words() if lines else "nothing moves")
+        if self.handover is None:
+            lines.append("begin would be refused: nothing here brings a database's data to another place")
+        return answered(result=Ok(None), words="\n".join(lines))
+
+    async def _shards_abandoned(self, unpacker: Unpacker) -> bytes:
+        version = unpacker.u64()
+        unpacker.done()
+        return answered(result=await self.shards.abandon(version=version), words=f"map {version} is given up")
+
+    async def _shards_progress(self, unpacker: Unpacker) -> bytes:
+        """Words for people, then the phase, the turn, the version that stands, and why the last was withdrawn."""
+        unpacker.done()
+        progress = await self.shards.progress()
+        state = progress.state
+        packer = Packer().text(value="").text(value=progress.words())
+        packer.u8(value=state.phase).u64(value=state.turn).u64(value=state.current.version).text(value=state.why)
+        return packer.bytes()
 
     async def _status_asked(self, unpacker: Unpacker) -> bytes:
         unpacker.done()
@@ -260,3 +314,10 @@
     def resettle(self, *, settings: Settings) -> None:
         self.settings = settings
         self.vault.resettle(settings=settings)
+
+
+def answered(*, result: Result[Any, Fault], words: str) -> bytes:
+    """An operator's answer: a kind, empty where all is well, and words."""
+    if result.is_error():
+        return Packer().text(value=result.error.kind.value).text(value=result.error.why).bytes()
+    return Packer().text(value="").text(value=words).bytes()
--- a/src/cinderstair/pitch/settings.py
+++ b/src/cinderstair/pitch/settings.py
@@ -46,6 +46,10 @@
     mostVaults = fields.Integer(load_default=0, strict=True, validate=validate.Range(min=0, max=15))
     mayFound = fields.Boolean(load_default=True)
     probeEveryUs = fields.Integer(load_default=300_000, strict=True, validate=validate.Range(min=50_000))
+    # why: below 2.5 s, for which a link bears silence, what a standing machine holds up could arrive out of time
+    underWayUs = fields.Integer(
+        load_default=3_000_000, strict=True, validate=validate.Range(min=2_500_000, max=60_000_000)
+    )
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -53,7 +57,8 @@
     """What a process was told when it started, and what it may be told again while it runs.
 
     mostVaults: how many may vote in the end (0: as many as found the system). mayFound: whether a blank disk may
-    take part in founding; a machine that has lost its disk may not.
+    take part in founding; a machine that has lost its disk may not. underWayUs: for how long what has left for a
+    backend may still take effect after its link was lost; a closing shard map waits as long for who is not heard.
     """
 
     name: str
@@ -73,6 +78,7 @@
     mostVaults: int = 0
     mayFound: bool = True
     probeEveryUs: int = 300_000
+    underWayUs: int = 3_000_000
 
 
 def badSettings(*, where: str, why: str) -> Result[Settings, Fault]:
--- a/src/cinderstair/steward/shard_duty.py
+++ b/src/cinderstair/steward/shard_duty.py
@@ -14,6 +14,8 @@
 from ..vault.lease import Lease
 from ..vault.register import Found, Register
 from ..vault.register_view import RegisterView
+from .shard_forecast import ShardForecast, forecast
+from .shard_progress import ShardProgress
 from .shard_state import (
     GIVE_UP_US,
     SHARDS_KEY,
@@ -32,6 +34,7 @@
 PROPOSED_MOST_US = 30_000_000
 CLOSING_MOST_US = 5_000_000
 EXPECTED_US = 900_000
+ABANDONED = "abandoned by an operator"
 
 
 class Ballots(Protocol):
@@ -86,6 +89,8 @@
         self.state = ShardState()
         self.since_us = 0
         self.reason = ""
+        self.closing_us: int | None = None
+        self.handover_us = 0
         view.changes.subscribe(self._changed)
         self.openQueue()
         self.every(everyUs=TICK_US, command=self._tick, name="shards")
@@ -124,6 +129,50 @@
         self.view.takeOwn(key=SHARDS_KEY, result=result)
         return Error(result.error) if result.is_error() else Ok(None)
 
+    async def abandon(self, *, version: int) -> Result[None, Fault]:
+        """Gives a change up, proposed or closing, before anything was taken over. versionOld: there is none."""
+
+        def decide(data: bytes) -> Result[bytes, Fault]:
+            state = read_shard_state(data=data)
+            if state.phase == ShardPhase.steady:
+                # why: whoever had no clear answer the first time may ask again
+                if state.why == ABANDONED and state.current.version < version:
+                    return Ok(data)
+                return Error(
+                    Fault(kind=Kind.versionOld, why=f"map {state.current.version} stands, no other is coming")
+                )
+            if state.following.version != version:
+                return Error(Fault(kind=Kind.versionTaken, why=f"version {state.following.version} is on its way"))
+            new = replace(state, phase=ShardPhase.steady, following=ShardMap(), ready_in_us=0, why=ABANDONED)
+            return Ok(new.bytes())
+
+        result = await self.register.change(key=SHARDS_KEY, decide=decide)
+        self.view.takeOwn(key=SHARDS_KEY, result=result)
+        if result.is_error():
+            return Error(result.error)
+        self.ctx.counters.add(name="shards.abandoned")
+        return Ok(None)
+
+    async def progress(self) -> ShardProgress:
+        """Where a change stands, and how those booths vote that have a slot."""
+        state = self.state
+        booths, named = await self.census(), self._named()
+        votes = {vote: len(self._votes(booths=booths, vote=vote) & named) for vote in Vote}
+        heard = {name for name, seen in booths.items() if self.ctx.nowUs() - seen.at_us < SEEN_US}
+        return ShardProgress(state=state, named=len(named), unheard=len(named - heard), votes=votes)
+
+    async def forecast(self) -> ShardForecast:
+        progress = await self.progress()
+        outwait_us = self.lease_us + self.lease_us // 10 + GIVE_UP_US + self.under_way_us
+        return forecast(
+            booths=progress.named,
+            silent=progress.unheard,
+            outwait_us=outwait_us,
+            goes_back_us=outwait_us + CLOSING_MOST_US,
+            closing_us=self.closing_us,
+            handover_us=self.handover_us,
+        )
+
     async def _put(self, *, old: ShardState, new: ShardState) -> bool:
         """`old` is the word that the step was decided on, and not what may have come in since."""
 
@@ -203,17 +252,23 @@
 
     async def _move(self, *, state: ShardState, booths: dict[str, Ballots]) -> None:
         """From closing to steady under the new map, once nobody writes at the old places any more."""
-        waited_us = self.ctx.nowUs() - self.since_us
+        began_us = self.since_us
+        waited_us = self.ctx.nowUs() - began_us
         closed = self._votes(booths=booths, vote=Vote.closed)
         # why: a booth that says that it has closed writes there no more; one that says nothing, named or not, has
         # lost its right to by then, since its view of the register has run out
         unheard = {name for name, seen in booths.items() if self.ctx.nowUs() - seen.at_us < SEEN_US} - closed
         if (unheard or not self._named() <= closed) and waited_us < self.outwait_us:
             return
-        if await self._complete(state=state):
+        asked_us = self.ctx.nowUs()
+        complete = await self._complete(state=state)
+        self.handover_us = self.ctx.nowUs() - asked_us
+        if complete:
             new = ShardState(current=state.following, turn=state.turn, under_way_us=state.under_way_us)
             if await self._put(old=state, new=new):
+                self.closing_us = self.ctx.nowUs() - began_us
                 self.ctx.counters.add(name="shards.moved")
+                self.ctx.counters.gauge(name="shards.closing_us", value=self.closing_us)
         elif waited_us > self.outwait_us + CLOSING_MOST_US:
             await self._back(state=state, why="the new place does not hold everything")
 
--- a/steps/controlverbsteps.py
+++ b/steps/controlverbsteps.py
@@ -12,15 +12,23 @@
 from cleo.application import Application
 
 from cinderstair.counter.controlverb import GuildhallVerb, ShardsVerb
+from cinderstair.counter.shardverbs import ShardsAbandonVerb, ShardsBeginVerb, ShardsPlanVerb, ShardsWatchVerb
 from cinderstair.fairground.fleet import freePorts
 from cinderstair.pitch.counters import Counters
 from cinderstair.pitch.packer import Packer
 from cinderstair.pitch.recordwire import RecordWire
+from cinderstair.steward.shard_state import ShardPhase
 
 
 def answer_of(*, words: str) -> bytes:
     if words.startswith("text "):
         return Packer().text(value="").text(value=words.removeprefix("text ").strip('"')).bytes()
+    if words.startswith("progress "):
+        phase, stands, why = words.removeprefix("progress ").split(", ")
+        packer = Packer().text(value="").text(value=f"{phase}: so it is")
+        return (
+            packer.u8(value=ShardPhase[phase]).u64(value=2).u64(value=int(stands)).text(value=why.strip('"')).bytes()
+        )
     if words.startswith("kind "):
         return Packer().text(value=words.removeprefix("kind ")).text(value="so it is").bytes()
     return b"\x00\x01"
@@ -58,7 +66,8 @@
         argv = [given.get(word, word) for word in words.split()] + ["--at", address]
         app = Application("cinderstair", "0")
         app.add(ShardsVerb())
-        app.add(GuildhallVerb())
+        for verb in (GuildhallVerb, ShardsPlanVerb, ShardsBeginVerb, ShardsWatchVerb, ShardsAbandonVerb):
+            app.add(verb())
         app.auto_exits(False)
         said = io.StringIO()
         with contextlib.redirect_stdout(said), contextlib.redirect_stderr(said):
--- a/steps/shardsteps.py
+++ b/steps/shardsteps.py
@@ -1,10 +1,13 @@
 """Steps for shard maps and their states."""
 
+import json
 import random
+from types import SimpleNamespace
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
 
+from cinderstair.charter.shard_check import shard_map_troubles
 from cinderstair.charter.shard_map import ShardMap, check_shard_map
 from cinderstair.steward.shard_state import ShardPhase, ShardState, read_shard_state
 
@@ -25,6 +28,35 @@
     assert f"version {wanted.version}, {wanted.agree_percent} %, {places or 'nothing'}" == found, wanted
 
 
+def places_of(*, text: str) -> dict[str, str]:
+    return dict(each.split(": ", 1) for each in text.split(", ")) if text else {}  # type: ignore[misc]
+
+
+@given('databases "{databases}", services "{services}", and a map in force with "{stands}"')
+def given_configuration(context: Any, databases: str, services: str, stands: str) -> None:
+    context.plan = SimpleNamespace(
+        version=7, routes=dict.fromkeys(databases.split(", ")), services=dict.fromkeys(services.split(", "))
+    )
+    context.current = ShardMap(version=1, places=places_of(text=stands))
+
+
+@given('databases "{databases}", services "{services}", and a map in force with ""')
+def given_no_map(context: Any, databases: str, services: str) -> None:
+    given_configuration(context=context, databases=databases, services=services, stands="")
+
+
+@when('the places "{places}", each on a line of its own, are checked')
+def when_held(context: Any, places: str) -> None:
+    document = json.dumps({"version": 2, "places": places_of(text=places)}, indent=1)
+    wanted = check_shard_map(raw=document.encode()).ok
+    context.troubles = shard_map_troubles(text=document, wanted=wanted, current=context.current, plan=context.plan)
+
+
+@then('the reasons are "{why}"')
+def then_reasons(context: Any, why: str) -> None:
+    assert (" / ".join(context.troubles) or "none") == why, context.troubles
+
+
 def made_up(*, luck: random.Random) -> ShardMap:
     names = [f"database-{number}" for number in range(luck.randrange(6))]
     places = {name: f"service-{luck.randrange(3)}" for name in names}
@@ -39,6 +71,9 @@
             current=made_up(luck=luck),
             following=made_up(luck=luck),
             ready_in_us=luck.randrange(2**40),
+            turn=luck.randrange(2**40),
+            under_way_us=luck.randrange(2**40),
+            why=luck.choice(("", "too few agree")),
         )
         for _ in range(count)
     ]
