Trials of the shard map's change in a match afternoon and a month-end rush

Cause: trials were missing for booths that are killed, cut one way, late or older, for vaults lost or restarted, a holder killed in each phase, a second change, one that is given up, and a crash of the new place's primary.

--- a/src/cinderstair/fairground/platformsim/platform_client.py
+++ b/src/cinderstair/fairground/platformsim/platform_client.py
@@ -149,6 +149,8 @@
             await asyncio.sleep(wait_us / 1_000_000)
         self.served += served
         self.waits_us.append(self.now_us - began_us)
+        if any(kind in ("write", "begin") for kind, *_ in steps):
+            self.referee.shard.waited(database=self.database, began_us=began_us, ended_us=self.now_us)
         self.referee.recover.operated(began_us=began_us, served=served)
 
     def _again(self, *, attempt: Attempt) -> bool:
--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -30,10 +30,18 @@
     drain_us: int = DRAIN_US
     write_share: float = 0.4
     pauses_us: tuple[int, ...] = PAUSES_US
+    shape: str = ""
+
+
+def in_both_shapes(*, play: Callable[[PlatformWorld], None]) -> tuple[Trial, Trial]:
+    """A match afternoon: many small writes and reads. A month's end: mostly transactions."""
+    match = Trial(play, ("SHARD",), clients=18, think_us=90_000, transaction_share=0.1, shape="_in_a_match")
+    rush = Trial(play, ("SHARD",), clients=18, write_share=0.6, transaction_share=0.7, shape="_in_a_rush")
+    return match, rush
 
 
 TRIALS: dict[str, Trial] = {
-    trial.play.__name__: trial
+    trial.play.__name__ + trial.shape: trial
     for trial in (
         Trial(lead_trials.calm_day),
         Trial(lead_trials.primary_crash),
@@ -114,6 +122,7 @@
         Trial(shard_trials.shards_two_operators, ("SHARD",)),
         Trial(shard_trials.shards_with_a_crash, ("SHARD",)),
         Trial(shard_trials.shards_slow_handover, ("SHARD",)),
+        *(trial for play in shard_trials.SHAPED for trial in in_both_shapes(play=play)),
         Trial(
             shard_trials.shards_long_transaction,
             ("SHARD",),
@@ -167,6 +176,7 @@
     if not world.served:
         wrong.append("nothing was served")
     figures = {
+        **referee.shard.figures(),
         "full": referee.full,
         "misled": referee.misled,
         "promotions": len(world.platform.calls),
--- a/src/cinderstair/fairground/platformsim/shard_checker.py
+++ b/src/cinderstair/fairground/platformsim/shard_checker.py
@@ -27,10 +27,33 @@
         self.acked: dict[str, list[tuple[int, bytes, LogEntry]]] = {}
         self.own: dict[int, list[tuple[int, bytes, LogEntry]]] = {}
         self.at_target = 0
+        self.watched_us = 0
+        self.waits_us: list[tuple[int, int]] = []
 
-    def watch(self, *, database: str, source: str, target: str) -> None:
+    def watch(self, *, database: str, source: str, target: str, now_us: int) -> None:
+        self.watched_us = self.watched_us or now_us
         self.places[database] = (source, target)
 
+    def withdrawn(self) -> None:
+        """The change was given up, so whatever was brought is nowhere's truth, and the old place goes on."""
+        self.moved_us.clear()
+
+    def waited(self, *, database: str, began_us: int, ended_us: int) -> None:
+        """An operation that writes, over with all its tries."""
+        if database in self.places and ended_us >= self.watched_us:
+            self.waits_us.append((began_us, ended_us))
+
+    def figures(self) -> dict[str, int]:
+        """How long writes of moving databases took that were under way between the proposal and a second past it."""
+        if not self.places:
+            return {}
+        until_us = max(self.moved_us.values(), default=1 << 62) + 1_000_000
+        took_us = sorted(ended - began for began, ended in self.waits_us if began <= until_us)
+        if not took_us:
+            return {}
+        ranks = {"write_median_ms": len(took_us) // 2, "write_p99_ms": len(took_us) * 99 // 100, "write_worst_ms": -1}
+        return {name: took_us[rank] // 1_000 for name, rank in ranks.items()} | {"writes": len(took_us)}
+
     def _held(self, *, ident: bytes, entry: LogEntry, backend: "StandInBackend") -> bool:
         if entry.service == backend.service.name:
             return backend.holds(entry=entry)
--- a/src/cinderstair/fairground/platformsim/shard_trials.py
+++ b/src/cinderstair/fairground/platformsim/shard_trials.py
@@ -4,9 +4,11 @@
 from contextlib import ExitStack
 from unittest.mock import AsyncMock, patch
 
-from ...booth.relayed_view import LEASE_US
+from ...booth.relayed_view import LEASE_US, RelayedView
 from ...charter.shard_map import ShardMap
-from ...steward.shard_state import ShardPhase
+from ...pitch.kind import Kind
+from ...steward.shard_duty import ShardDuty
+from ...steward.shard_state import SHARDS_KEY, ShardPhase
 from .platform_world import PlatformWorld
 
 MOVING = ("ledger0-self", "ledger0-primary")
@@ -17,7 +19,7 @@
 def propose(*, world: PlatformWorld, version: int = 1, percent: int = 51, at: int = 0) -> str:
     """Puts a map to the booths by one guildhall; an empty text where it was taken."""
     for database in MOVING:
-        world.referee.shard.watch(database=database, source="ledger0", target=TARGET)
+        world.referee.shard.watch(database=database, source="ledger0", target=TARGET, now_us=world.now_us)
         world.referee.route.allow(database=database, service=TARGET)
     wanted = ShardMap(version=version, places=dict.fromkeys(MOVING, TARGET), agree_percent=percent)
     duty = world.roles[world.guildhalls[at]].guildhall.shards
@@ -175,6 +177,201 @@
     assert all_hold(world=world, version=1), "a map that was taken over went back by itself"
 
 
+def duty_of(*, world: PlatformWorld) -> ShardDuty:
+    """The duty of a guildhall that runs; its view tells how far the change has come."""
+    duty: ShardDuty = world.roles[next(name for name in world.guildhalls if name in world.roles)].guildhall.shards
+    return duty
+
+
+def await_phase(*, world: PlatformWorld, phase: ShardPhase) -> None:
+    """Until some guildhall knows of this phase of the change, or that it is over."""
+
+    def come() -> bool:
+        states = [world.roles[name].guildhall.shards.state for name in world.guildhalls if name in world.roles]
+        return any(state.phase == phase and state.turn for state in states)
+
+    world.await_that(test=come, within_ms=6_000, what=f"the map is {phase.name}")
+
+
+def holder(*, world: PlatformWorld) -> str:
+    names = [name for name in world.guildhalls if name in world.roles]
+    return next((name for name in names if world.roles[name].guildhall.shards.lease.held), names[0])
+
+
+def shards_booth_killed(world: PlatformWorld) -> None:
+    """A booth is killed in the middle, in whatever phase, and starts again from nothing."""
+    world.advance(for_ms=500)
+    assert not propose(world=world)
+    await_phase(world=world, phase=world.luck.choice((ShardPhase.proposed, ShardPhase.closing)))
+    world.advance(for_ms=world.luck.randrange(0, 300))
+    world.kill(name=world.booths[0], again_us=world.luck.choice((100_000, 600_000, 2_500_000)))
+    moved(world=world, within_ms=14_000)
+    world.advance(for_ms=1_500)
+
+
+def shards_booth_cut_one_way(world: PlatformWorld) -> None:
+    """What a booth asks reaches the guildhalls and no answer comes back, or it hears of nothing it asked for."""
+    world.advance(for_ms=500)
+    assert not propose(world=world)
+    await_phase(world=world, phase=world.luck.choice((ShardPhase.proposed, ShardPhase.closing)))
+    ones, others = [world.booths[0]], world.guildhalls
+    if world.luck.random() < 0.5:
+        ones, others = others, ones
+    world.cut(ones=ones, others=others, both=False)
+    world.await_that(test=lambda: bool(world.referee.shard.moved_us), within_ms=12_000, what="all is brought over")
+    world.advance(for_ms=1_000)
+    world.heal()
+    moved(world=world, within_ms=10_000)
+    world.advance(for_ms=1_000)
+
+
+def shards_booth_late(world: PlatformWorld) -> None:
+    """All that a booth sends and hears is late by as much as a question may be."""
+    world.advance(for_ms=500)
+    world.note(name=world.booths[0], for_us=None)
+    world.wires.lagsUs[world.booths[0]] = world.luck.randrange(100_000, 180_000)
+    assert not propose(world=world)
+    moved(world=world, within_ms=14_000)
+    world.advance(for_ms=1_000)
+
+
+def shards_booth_old(world: PlatformWorld) -> None:
+    """A booth that can't read the word, as of an older version or for a broken map: it holds the old one."""
+    world.advance(for_ms=500)
+    old = world.booths[1]
+    view = world.roles[old].booth.view
+    world.note(name=old, for_us=None)
+
+    def apply(*, key: str, value: bytes) -> None:
+        if key == SHARDS_KEY:
+            raise ValueError("a word of another version")
+        RelayedView._apply(view, key=key, value=value)
+
+    with patch.object(view, "_apply", apply):
+        assert not propose(world=world)
+        others = [name for name in world.booths if name != old]
+        world.await_that(
+            test=lambda: all_hold(world=world, version=1, names=others), within_ms=14_000, what="the others move"
+        )
+        world.advance(for_ms=1_500)
+        assert held(world=world, name=old) == 0, "a booth that could not read the map moved"
+    moved(world=world, within_ms=6_000)
+    world.advance(for_ms=1_000)
+
+
+def shards_vault_lost(world: PlatformWorld) -> None:
+    """One vault of three is gone with its disk while the map closes."""
+    world.advance(for_ms=500)
+    assert not propose(world=world)
+    await_phase(world=world, phase=ShardPhase.closing)
+    world.power_off(name=world.luck.choice(world.guildhalls), wipe=True)
+    moved(world=world, within_ms=20_000)
+    world.advance(for_ms=1_500)
+
+
+def shards_vault_restarted(world: PlatformWorld) -> None:
+    """One vault ends while the map closes, and comes back with its disk."""
+    world.advance(for_ms=500)
+    assert not propose(world=world)
+    await_phase(world=world, phase=ShardPhase.closing)
+    name = world.luck.choice(world.guildhalls)
+    world.power_off(name=name)
+    world.advance(for_ms=world.luck.randrange(50, 1_500))
+    world.power_on(name=name)
+    moved(world=world, within_ms=20_000)
+    world.advance(for_ms=1_500)
+
+
+def holder_killed_in(*, world: PlatformWorld, phase: ShardPhase) -> None:
+    world.advance(for_ms=500)
+    assert not propose(world=world)
+    await_phase(world=world, phase=phase)
+    world.advance(for_ms=world.luck.randrange(0, 200))
+    world.kill(name=holder(world=world))
+    moved(world=world, within_ms=20_000)
+    world.advance(for_ms=1_500)
+
+
+def shards_holder_killed_proposed(world: PlatformWorld) -> None:
+    """The duty's holder dies while booths are asked."""
+    holder_killed_in(world=world, phase=ShardPhase.proposed)
+
+
+def shards_holder_killed_closing(world: PlatformWorld) -> None:
+    """The duty's holder dies while nobody writes."""
+    holder_killed_in(world=world, phase=ShardPhase.closing)
+
+
+def shards_holder_killed_steady(world: PlatformWorld) -> None:
+    """The duty's holder dies with its last step, of which few have heard."""
+    world.advance(for_ms=500)
+    assert not propose(world=world)
+    await_phase(world=world, phase=ShardPhase.closing)
+    world.await_that(test=lambda: bool(world.referee.shard.moved_us), within_ms=9_000, what="all is brought over")
+    world.kill(name=holder(world=world))
+    moved(world=world, within_ms=20_000)
+    world.advance(for_ms=1_500)
+
+
+def shards_second_begun(world: PlatformWorld) -> None:
+    """A second change is begun in each phase of the first, and once more when that is over."""
+    world.advance(for_ms=500)
+    assert not propose(world=world, version=3)
+    for phase in (ShardPhase.proposed, ShardPhase.closing):
+        await_phase(world=world, phase=phase)
+        assert propose(world=world, version=8, at=1) == "versionTaken"
+    moved(world=world, version=3)
+    assert not propose(world=world, version=8, at=2), "the first is over, and a second may begin"
+    moved(world=world, version=8)
+    world.advance(for_ms=1_000)
+
+
+def abandoned_in(*, world: PlatformWorld, phase: ShardPhase) -> None:
+    """Given up, then put again as the very same map, which moves."""
+    world.advance(for_ms=500)
+    assert not propose(world=world)
+    await_phase(world=world, phase=phase)
+    world.advance(for_ms=world.luck.randrange(0, 250))
+    duty = duty_of(world=world)
+    result = world.run(work=duty.abandon(version=1))
+    if result.is_error():
+        # why: it may have been taken over just before, and then nobody can give it up any more
+        assert phase == ShardPhase.closing and result.error.kind == Kind.versionOld, result.error
+        moved(world=world)
+        return
+    world.referee.shard.withdrawn()
+    assert all_hold(world=world, version=0), "a map that was given up was taken over"
+    world.advance(for_ms=world.luck.randrange(0, 600))
+    assert not propose(world=world, at=1)
+    moved(world=world, within_ms=14_000)
+    assert world.run(work=duty.abandon(version=1)).error.kind == Kind.versionOld
+    world.advance(for_ms=1_000)
+
+
+def shards_abandoned_proposed(world: PlatformWorld) -> None:
+    """An operator gives a change up while booths are asked."""
+    abandoned_in(world=world, phase=ShardPhase.proposed)
+
+
+def shards_abandoned_closing(world: PlatformWorld) -> None:
+    """An operator gives a change up while nobody writes."""
+    abandoned_in(world=world, phase=ShardPhase.closing)
+
+
+def shards_new_place_crash(world: PlatformWorld) -> None:
+    """The new place's primary crashes when it holds everything, right before the booths may write there."""
+    world.advance(for_ms=500)
+    assert not propose(world=world)
+    world.await_that(
+        test=lambda: len(world.referee.shard.moved_us) == len(MOVING), within_ms=9_000, what="all is brought over"
+    )
+    world.crash(backend=world.primary(service=TARGET), again_us=3_000_000)
+    world.advance(for_ms=4_000)
+    world.await_that(test=world.serves, within_ms=20_000, what="the service is back")
+    moved(world=world, within_ms=10_000)
+    world.advance(for_ms=1_500)
+
+
 def lies_held_up(*, world: PlatformWorld, booth: str, backend: str) -> bool:
     """Whether a write or commit of a database that moves lies unsent, or unheard, on the way to a backend."""
     referee = world.referee
@@ -274,3 +471,20 @@
     """The same at a booth that is then killed, so that its machine alone is left to send them."""
     held_up(world=world, then=lambda name: world.kill(name=name))
     moved(world=world, within_ms=10_000)
+
+
+SHAPED = (
+    shards_booth_killed,
+    shards_booth_cut_one_way,
+    shards_booth_late,
+    shards_booth_old,
+    shards_vault_lost,
+    shards_vault_restarted,
+    shards_holder_killed_proposed,
+    shards_holder_killed_closing,
+    shards_holder_killed_steady,
+    shards_second_begun,
+    shards_abandoned_proposed,
+    shards_abandoned_closing,
+    shards_new_place_crash,
+)
--- a/src/cinderstair/fairground/platformsim/shards.feature
+++ b/src/cinderstair/fairground/platformsim/shards.feature
@@ -35,6 +35,35 @@
       | shards_commit_held_up_killed | 98    | 1     | 1    |
       | shards_long_transaction      | 65    | 2     | 3    |
 
+    Examples: a match afternoon and a month-end rush, and everything that can happen in the middle
+      | trial                                    | share | first | last |
+      | shards_booth_killed_in_a_match           | 97    | 1     | 1    |
+      | shards_booth_killed_in_a_rush            | 97    | 2     | 2    |
+      | shards_booth_cut_one_way_in_a_match      | 92    | 1     | 1    |
+      | shards_booth_cut_one_way_in_a_rush       | 82    | 2     | 2    |
+      | shards_booth_late_in_a_match             | 97    | 1     | 1    |
+      | shards_booth_late_in_a_rush              | 95    | 2     | 2    |
+      | shards_booth_old_in_a_match              | 92    | 1     | 1    |
+      | shards_booth_old_in_a_rush               | 82    | 2     | 2    |
+      | shards_vault_lost_in_a_match             | 97    | 1     | 1    |
+      | shards_vault_lost_in_a_rush              | 95    | 2     | 2    |
+      | shards_vault_restarted_in_a_match        | 97    | 1     | 1    |
+      | shards_vault_restarted_in_a_rush         | 95    | 2     | 2    |
+      | shards_holder_killed_proposed_in_a_match | 97    | 1     | 1    |
+      | shards_holder_killed_proposed_in_a_rush  | 97    | 2     | 2    |
+      | shards_holder_killed_closing_in_a_match  | 97    | 1     | 1    |
+      | shards_holder_killed_closing_in_a_rush   | 95    | 2     | 2    |
+      | shards_holder_killed_steady_in_a_match   | 97    | 1     | 1    |
+      | shards_holder_killed_steady_in_a_rush    | 95    | 2     | 2    |
+      | shards_second_begun_in_a_match           | 97    | 1     | 1    |
+      | shards_second_begun_in_a_rush            | 97    | 2     | 2    |
+      | shards_abandoned_proposed_in_a_match     | 97    | 1     | 1    |
+      | shards_abandoned_proposed_in_a_rush      | 97    | 2     | 2    |
+      | shards_abandoned_closing_in_a_match      | 97    | 1     | 1    |
+      | shards_abandoned_closing_in_a_rush       | 97    | 2     | 2    |
+      | shards_new_place_crash_in_a_match        | 96    | 1     | 1    |
+      | shards_new_place_crash_in_a_rush         | 95    | 2     | 2    |
+
   Scenario Outline: <fault> is seen in <trial>
     When the platform trial <trial> is played with seed <seed> and the fault <fault>
     Then the rule <rule> was seen broken: "<words>"
@@ -46,6 +75,15 @@
       | samples_from_before | shards_in_a_rush  | 1    | SHARD | lacks           |
       | brought_twice       | shards_in_a_rush  | 1    | SHARD | stands 4 times  |
 
+  Scenario: An operator plans a map, begins it, follows it, and may not lose a database by the next one
+    When a simulated platform serves, and an operator plans the map of version 4
+    Then what it would do is told, and how long writes would wait, and nothing has changed
+    And a map that names an unknown place or database is refused with its line, planned and begun alike
+    When the operator begins it and follows it to its end
+    Then the booths hold the map of version 4, and writes waited for no longer than was foretold
+    And a map that is silent on a database that has moved is refused
+    And nothing is there to give up any more
+
   Scenario: An operator sees what a guildhall knows
     When a simulated platform serves, and the map of version 4 is put to its booths
     Then a guildhall tells of the vaults, services, backends, booths, duties and the map of version 4
--- a/steps/platformsteps.py
+++ b/steps/platformsteps.py
@@ -1,11 +1,16 @@
 """Steps for trials on the simulated platform, and for the faults that prove their checkers."""
 
+import json
+import re
 import sys
 from pathlib import Path
 from typing import Any
 
 from behave import then, when
 
+from cinderstair.pitch.packer import Packer
+from cinderstair.pitch.unpacker import Unpacker
+
 # why: the adapter lies beside the product and is no part of its package
 sys.path.append(str(Path(__file__).resolve().parent.parent / "platform"))
 
@@ -13,7 +18,7 @@
 from cinderstair.fairground.platformsim.platform_trials import run_trial  # noqa: E402
 from cinderstair.fairground.platformsim.platform_world import PlatformWorld  # noqa: E402
 from cinderstair.fairground.platformsim.repository import see_adapter  # noqa: E402
-from cinderstair.fairground.platformsim.shard_trials import moved, propose  # noqa: E402
+from cinderstair.fairground.platformsim.shard_trials import MOVING, TARGET, moved, propose  # noqa: E402
 from cinderstair.guildhall.status_text import status_text  # noqa: E402
 
 
@@ -94,3 +99,90 @@
     together = "\n".join(texts)
     assert all(f"booth {name}: asked" in together for name in world.booths), together
     assert "holds the duty of promotions" in together and "holds the duty of slots" in together, together
+
+
+def asked(*, context: Any, at: int, handler: str, body: bytes) -> tuple[str, str]:
+    """A guildhall's kind and words to an operator's question."""
+    guildhall = context.world.roles[context.world.guildhalls[at]].guildhall
+    answer = Unpacker(data=context.world.run(work=getattr(guildhall, handler)(Unpacker(data=body))))
+    return answer.text(), answer.text()
+
+
+def document(*, version: int, places: dict[str, str]) -> bytes:
+    return Packer().blob(value=json.dumps({"version": version, "places": places}, indent=1).encode()).bytes()
+
+
+@when("a simulated platform serves, and an operator plans the map of version {version:d}")
+def when_plans(context: Any, version: int) -> None:
+    see_adapter()
+    context.world = PlatformWorld(seed=1)
+    context.worlds.append(context.world)
+    context.world.begin()
+    context.document = document(version=version, places=dict.fromkeys(MOVING, TARGET))
+    context.planned = asked(context=context, at=0, handler="_shards_planned", body=context.document)
+
+
+@then("what it would do is told, and how long writes would wait, and nothing has changed")
+def then_told(context: Any) -> None:
+    kind, words = context.planned
+    lines = words.splitlines()
+    assert not kind and lines[:2] == [f"{name}: from ledger0 to ledger1" for name in sorted(MOVING)], words
+    found = re.match(r"writes of moving databases wait about (\d+) ms .*, (\d+) ms with a booth silent", lines[2])
+    assert found is not None and "all 3 booths heard" in lines[2], words
+    context.foretold_us = int(found[1]) * 1_000
+    assert context.foretold_us < int(found[2]) * 1_000, words
+    context.world.advance(for_ms=1_000)
+    assert asked(context=context, at=1, handler="_shards_asked", body=Packer().blob(value=b"").bytes())[1].startswith(
+        "map 0: all as planned"
+    )
+
+
+@then("a map that names an unknown place or database is refused with its line, planned and begun alike")
+def then_refused(context: Any) -> None:
+    body = document(version=4, places={MOVING[0]: "nobody", "nowhere": TARGET})
+    for handler in ("_shards_planned", "_shards_asked"):
+        kind, words = asked(context=context, at=1, handler=handler, body=body)
+        assert kind == "brokenConfiguration", (kind, words)
+        lines = words.splitlines()
+        assert lines[0].startswith("line 4: ") and "'nobody' is no service" in lines[0], words
+        assert lines[1].startswith("line 5: ") and "'nowhere' is no database" in lines[1], words
+
+
+@when("the operator begins it and follows it to its end")
+def when_begins(context: Any) -> None:
+    assert asked(context=context, at=2, handler="_shards_asked", body=context.document) == ("", "put to the booths")
+    context.seen = []
+
+    def ends() -> bool:
+        words = asked(context=context, at=0, handler="_shards_progress", body=b"")[1]
+        context.seen.append(words)
+        return words == "steady: map 4"
+
+    context.world.await_that(test=ends, within_ms=8_000, what="it is done")
+
+
+@then("the booths hold the map of version {version:d}, and writes waited for no longer than was foretold")
+def then_held(context: Any, version: int) -> None:
+    moved(world=context.world, version=version)
+    for words in ("proposed: map 4 after 0; of 3 booths 3 agrees", "closing: map 4 after 0; of 3 booths"):
+        assert any(each.startswith(words) for each in context.seen), context.seen
+    duties = [context.world.roles[name].guildhall.shards for name in context.world.guildhalls]
+    took_us = [duty.closing_us for duty in duties if duty.closing_us is not None]
+    assert len(took_us) == 1 and context.foretold_us // 4 <= took_us[0] <= context.foretold_us, (
+        took_us,
+        context.foretold_us,
+    )
+
+
+@then("a map that is silent on a database that has moved is refused")
+def then_lost(context: Any) -> None:
+    body = document(version=5, places={MOVING[0]: TARGET})
+    kind, words = asked(context=context, at=0, handler="_shards_asked", body=body)
+    assert kind == "brokenConfiguration" and f"'{MOVING[1]}' is lost" in words, (kind, words)
+
+
+@then("nothing is there to give up any more")
+def then_none(context: Any) -> None:
+    body = Packer().u64(value=5).bytes()
+    kind, words = asked(context=context, at=0, handler="_shards_abandoned", body=body)
+    assert kind == "versionOld" and "map 4 stands" in words, (kind, words)
