A shard map is taken over early only once every guildhall has named its booths

Cause, by reasoning: a booth without a slot, in touch with a guildhall that the duty's holder can't ask, is neither named nor heard, and may be told the older word by that guildhall for up to a lease. All others having said closed, the map was taken over while that booth still wrote at the old place.

Change: a guildhall that is asked for its booths says, at the end of its answer, which turn and phase it knows; where one does not say the word that stands, the closing sits out its time.

--- a/src/cinderstair/guildhall/booth_census.py
+++ b/src/cinderstair/guildhall/booth_census.py
@@ -15,6 +15,8 @@
 
 WITHIN_US = 30_000_000
 ASK_WAIT_US = 500_000
+# the turn and the phase of a change of the shard map, as a guildhall knows them
+Word = tuple[int, int]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -29,10 +31,20 @@
 class BoothCensus:
     """Each guildhall knows the booths that ask it; whoever holds a duty asks the others for theirs."""
 
-    def __init__(self, *, ctx: Context, desk: Desk, relay: Relay, neighbours: Callable[[], list[str]]) -> None:
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        desk: Desk,
+        relay: Relay,
+        neighbours: Callable[[], list[str]],
+        word: Callable[[], Word] = lambda: (0, 0),
+    ) -> None:
         self.ctx = ctx
         self.relay = relay
         self.neighbours = neighbours
+        self.word = word
+        self.words: dict[str, Word] = {}
         self.booths: dict[str, Seen] = {}
         self.places: dict[str, tuple[int, BoothPlace]] = {}
         self.asked_us = self.asked_places_us = -WITHIN_US
@@ -53,7 +65,17 @@
         def write(packer: Packer, entry: tuple[str, int, int, Vote]) -> None:
             packer.text(value=entry[0]).u64(value=entry[1]).u64(value=entry[2]).u8(value=entry[3])
 
-        return Packer().many(values=self.relay.seen(within_us=WITHIN_US), each=write).bytes()
+        turn, phase = self.word()
+        packer = Packer().many(values=self.relay.seen(within_us=WITHIN_US), each=write)
+        # why: at the end, where a guildhall that knows nothing of it does not look
+        return packer.u64(value=turn).u8(value=phase).bytes()
+
+    def told(self, *, word: Word) -> bool:
+        """Whether every other guildhall has this word and has since named the booths that it sees.
+
+        Before that, one of them may tell a booth that nobody else knows of an older word.
+        """
+        return all(self.words.get(address) == word for address in self.neighbours())
 
     async def _places_asked(self, unpacker: Unpacker) -> bytes:
         unpacker.done()
@@ -87,15 +109,19 @@
 
     async def _ask(self, *, now_us: int) -> None:
         body = Packer().u8(value=BOOTHS).bytes()
-        asks = [self.ctx.parley.ask(address=address, body=body, waitUs=ASK_WAIT_US) for address in self.neighbours()]
-        for result in await asyncio.gather(*asks):
+        addresses = self.neighbours()
+        asks = [self.ctx.parley.ask(address=address, body=body, waitUs=ASK_WAIT_US) for address in addresses]
+        for address, result in zip(addresses, await asyncio.gather(*asks), strict=True):
             if result.is_error():
                 continue
             try:
-                entries = Unpacker(data=result.ok).many(each=lambda u: (u.text(), u.u64(), u.u64(), Vote(u.u8())))
+                unpacker = Unpacker(data=result.ok)
+                entries = unpacker.many(each=lambda u: (u.text(), u.u64(), u.u64(), Vote(u.u8())))
+                word = unpacker.u64(), unpacker.u8()
             except ValueError:
                 self.ctx.counters.add(name="records.malformed")
                 continue
+            self.words[address] = word
             for name, age_us, turn, vote in entries:
                 # why: the answer may have lain anywhere since the asking, so its age counts from there
                 self._take(name=name, seen=Seen(at_us=now_us - age_us, turn=turn, vote=vote))
--- a/src/cinderstair/guildhall/guildhall.py
+++ b/src/cinderstair/guildhall/guildhall.py
@@ -102,13 +102,20 @@
             opinions=self._opinions,
             lease_us=self.booth_lease_us,
         )
-        self.census = BoothCensus(ctx=ctx, desk=vault.desk, relay=self.relay, neighbours=self._neighbours)
+        self.census = BoothCensus(
+            ctx=ctx,
+            desk=vault.desk,
+            relay=self.relay,
+            neighbours=self._neighbours,
+            word=lambda: (self.shards.state.turn, self.shards.state.phase),
+        )
         self.slots = SlotKeeper(ctx=ctx, register=vault.register, view=self.view, census=self.census)
         self.shards = ShardDuty(
             ctx=ctx,
             register=vault.register,
             view=self.view,
             census=self._census,
+            told=lambda state: self.census.told(word=(state.turn, state.phase)),
             planned=self._planned,
             handover=self.handover,
             lease_us=self.booth_lease_us,
--- a/src/cinderstair/guildhall/slot_keeper.feature
+++ b/src/cinderstair/guildhall/slot_keeper.feature
@@ -43,6 +43,23 @@
     Then the slots are "0 b1, 1 b2, 2 b3"
     And they were written 1 times
 
+  Scenario: Whoever holds a duty knows which word all other guildhalls have
+    Given 3 guildhalls that keep slots
+    And core-1 knows turn 4 and phase 2 of the shard map
+    And core-2 knows turn 4 and phase 2 of the shard map
+    And core-3 knows turn 4 and phase 1 of the shard map
+    Then core-1 takes all others for told of turn 4 and phase 2: no
+    When core-3 knows turn 4 and phase 2 of the shard map
+    Then core-1 takes all others for told of turn 4 and phase 2: yes
+    And core-1 takes all others for told of turn 5 and phase 2: no
+
+  Scenario: A guildhall that answers nobody has been told nothing
+    Given 3 guildhalls that keep slots
+    And core-1 knows turn 4 and phase 2 of the shard map
+    And core-2 knows turn 4 and phase 2 of the shard map
+    When core-3 answers nobody
+    Then core-1 takes all others for told of turn 4 and phase 2: no
+
   Scenario: A keeper tells its neighbours whom it sees, and how they vote
     Given 1 guildhalls that keep slots
     Then a keeper that is asked tells how long ago it saw each booth
--- a/src/cinderstair/steward/shard_duty.py
+++ b/src/cinderstair/steward/shard_duty.py
@@ -72,6 +72,7 @@
         register: Register,
         view: RegisterView,
         census: Census,
+        told: Callable[[ShardState], bool],
         planned: Planned,
         handover: Handover | None,
         lease_us: int,
@@ -81,6 +82,7 @@
         self.register = register
         self.view = view
         self.census = census
+        self.told = told
         self.planned = planned
         self.handover = handover
         self.lease_us = lease_us
@@ -258,7 +260,9 @@
         # why: a booth that says that it has closed writes there no more; one that says nothing, named or not, has
         # lost its right to by then, since its view of the register has run out
         unheard = {name for name, seen in booths.items() if self.ctx.nowUs() - seen.at_us < SEEN_US} - closed
-        if (unheard or not self._named() <= closed) and waited_us < self.outwait_us:
+        # why: a guildhall that does not know of the closing yet may let a booth begin that nobody else has seen
+        all_closed = self.told(state) and not unheard and self._named() <= closed
+        if not all_closed and waited_us < self.outwait_us:
             return
         asked_us = self.ctx.nowUs()
         complete = await self._complete(state=state)
--- a/steps/guildhallsteps.py
+++ b/steps/guildhallsteps.py
@@ -835,12 +835,15 @@
 @given("{count:d} guildhalls that keep slots")
 def given_keepers(context: Any, count: int) -> None:
     new_stage(context=context)
-    context.desks = {}
+    context.desks, context.words, context.censuses = {}, {}, {}
+    context.every = []
     context.keepers = []
     for _ in range(count):
         hall = new_hall(context=context)
         hall.ctx.net = DeskNet(desks=context.desks)
         context.desks[hall.ctx.name] = hall.desk
+        context.words[hall.ctx.name] = (0, 0)
+        context.every.append(hall.ctx.name)
         hall.relay = FakeRelay(stage=context.stage)
 
         def work(hall: Hall = hall) -> None:
@@ -848,8 +851,10 @@
                 ctx=hall.ctx,
                 desk=hall.desk,
                 relay=hall.relay,
-                neighbours=lambda: [name for name in context.desks if name != hall.ctx.name],
+                neighbours=lambda: [name for name in context.every if name != hall.ctx.name],
+                word=lambda: context.words[hall.ctx.name],
             )
+            context.censuses[hall.ctx.name] = census
             keeper = SlotKeeper(ctx=hall.ctx, register=hall.register, view=hall.view, census=census)
             context.keepers.append(keeper)
 
@@ -910,6 +915,24 @@
     assert len(writes) == count, len(writes)
 
 
+@given("{name} knows turn {turn:d} and phase {phase:d} of the shard map")
+@when("{name} knows turn {turn:d} and phase {phase:d} of the shard map")
+def when_knows(context: Any, name: str, turn: int, phase: int) -> None:
+    context.words[name] = (turn, phase)
+
+
+@when("{name} answers nobody")
+def when_answers_nobody(context: Any, name: str) -> None:
+    context.desks.pop(name)
+
+
+@then("{name} takes all others for told of turn {turn:d} and phase {phase:d}: {answer}")
+def then_told_word(context: Any, name: str, turn: int, phase: int, answer: str) -> None:
+    census = context.censuses[name]
+    context.stage.run(work=census.gather(every_us=0))
+    assert census.told(word=(turn, phase)) == (answer == "yes"), census.words
+
+
 @when("the keeper that holds the duty dies, and its booths find another after {seconds:d} s")
 def when_keeper_dies(context: Any, seconds: int) -> None:
     dead = next(context.halls[n] for n, keeper in enumerate(context.keepers) if keeper.lease.held)
@@ -927,7 +950,9 @@
     body = Packer().u8(value=BOOTHS).bytes()
     unpacker = Unpacker(data=context.stage.run(work=context.desks["core-1"].answer(body)))
     found = unpacker.many(each=lambda u: (u.text(), u.u64(), u.u64(), Vote(u.u8())))
+    word = unpacker.u64(), unpacker.u8()
     unpacker.done()
+    assert word == (0, 0), word
     assert sorted(found) == [("a", 7_000, 0, Vote.silent), ("b", 0, 4, Vote.agrees)], found
 
 
