--- a/src/cinderstair/fairground/platformsim/platform_faults.py
+++ b/src/cinderstair/fairground/platformsim/platform_faults.py
@@ -281,6 +281,8 @@
         shard_faults.moves_unclosed,
         shard_faults.samples_from_before,
         shard_faults.brought_twice,
+        shard_faults.unanswered_forgotten,
+        shard_faults.untold_ends,
     )
 }
 
--- a/src/cinderstair/fairground/platformsim/shard_faults.py
+++ b/src/cinderstair/fairground/platformsim/shard_faults.py
@@ -4,6 +4,7 @@
 from unittest.mock import patch
 
 from ...booth.shards import Shards
+from ...booth.under_way import UnderWay
 from ...steward.shard_duty import ShardDuty
 from .stand_in_handover import StandInHandover
 
@@ -36,6 +37,20 @@
     ]
 
 
+def unanswered_forgotten() -> list[Any]:
+    """What has left and is not answered is waited for by no more than a route's time limit, and its link kept."""
+    return [
+        patch.object(UnderWay, "may_land", lambda self, *, database, within_us: False),
+        patch.object(UnderWay, "give_up", lambda self, *, databases, owed_us: None),
+        patch.object(ShardDuty, "outwait_us", property(lambda self: 2_600_000)),
+    ]
+
+
+def untold_ends() -> list[Any]:
+    """A booth ends what it has begun, however long it has been out of touch."""
+    return [patch.object(Shards, "may_end", lambda self, *, database, since_us: True)]
+
+
 def samples_from_before() -> list[Any]:
     """Reads at the new place rest on samples from before the data was brought there."""
 
--- a/src/cinderstair/fairground/platformsim/shards.feature
+++ b/src/cinderstair/fairground/platformsim/shards.feature
@@ -72,6 +72,8 @@
       | fault               | trial             | seed | rule  | words           |
       | old_map_writes_on   | shards_in_a_rush  | 1    | SHARD | has left it     |
       | moves_unclosed      | shards_in_a_rush  | 1    | SHARD | has left it     |
+      | unanswered_forgotten | shards_commit_held_up_deaf | 3 | SHARD | after it has left |
+      | untold_ends         | shards_long_transaction | 2 | SHARD | has left it     |
       | samples_from_before | shards_in_a_rush  | 1    | SHARD | lacks           |
       | brought_twice       | shards_in_a_rush  | 1    | SHARD | stands 4 times  |
 
--- /dev/null
+++ b/steps/underwaysteps.py
@@ -0,0 +1,83 @@
+"""Steps for what has left for a backend and may still land."""
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+from stage import Stage
+
+from cinderstair.booth.reply import Reply
+from cinderstair.booth.under_way import UnderWay
+
+WITHIN_US = 3_000_000
+
+
+class FakeLink:
+    """Remembers that it was closed; its answers are the test's."""
+
+    def __init__(self, *, name: str, closed: list[str]) -> None:
+        self.name = name
+        self.closed = closed
+
+    @property
+    def open(self) -> bool:
+        return self.name not in self.closed
+
+    def close(self) -> None:
+        self.closed.append(self.name)
+
+
+@given("what a booth has under way")
+def given_under_way(context: Any) -> None:
+    context.stage = Stage(context=context)
+    context.under_way = UnderWay(ctx=context.stage.ctx)
+    context.owed, context.closed = [], []
+
+
+@when('a write of "{database}" leaves')
+def when_leaves(context: Any, database: str) -> None:
+    answer: asyncio.Future[Reply] = context.stage.loop.create_future()
+    link: Any = FakeLink(name=database, closed=context.closed)
+    context.under_way.sent(database=database, link=link, answer=answer)
+    context.owed.append((database, answer))
+
+
+@when('the writes of "{database}" are answered')
+def when_answered(context: Any, database: str) -> None:
+    for name, answer in context.owed:
+        if name == database:
+            answer.set_result(Reply(rows=[]))
+    context.stage.advance(for_us=0)
+
+
+@when('the links of "{database}" are lost')
+def when_lost(context: Any, database: str) -> None:
+    for name, answer in context.owed:
+        if name == database:
+            answer.set_exception(ConnectionResetError("lost"))
+    context.stage.advance(for_us=0)
+
+
+@when("{count:d} ms pass for what is under way")
+def when_pass(context: Any, count: int) -> None:
+    context.stage.advance(for_us=count * 1_000)
+
+
+@when('what "{database}" has owed for {count:d} ms is given up')
+def when_given_up(context: Any, database: str, count: int) -> None:
+    context.under_way.give_up(databases=frozenset([database]), owed_us=count * 1_000)
+
+
+@when("what every database has owed for {count:d} ms is given up")
+def when_all_given_up(context: Any, count: int) -> None:
+    context.under_way.give_up(databases=None, owed_us=count * 1_000)
+
+
+@then('of "{database}" anything may land: {answer}')
+def then_may(context: Any, database: str, answer: str) -> None:
+    assert context.under_way.may_land(database=database, within_us=WITHIN_US) == (answer == "yes")
+
+
+@then('the links that were closed are "{names}"')
+def then_closed(context: Any, names: str) -> None:
+    assert (", ".join(context.closed) or "none") == names, context.closed
