--- /dev/null
+++ b/src/cinderstair/fairground/platformsim/shard_growth.py
@@ -0,0 +1,85 @@
+"""How the pause and the messages of a shard map's change grow with the booths; real ones, on virtual time."""
+
+import argparse
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+from ...steward.shard_state import ShardPhase
+from .platform_world import PlatformWorld
+from .repository import see_adapter
+from .shard_trials import await_phase, duty_of, moved, propose
+
+CALM_MS = 2_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class Growth:
+    """`closing_us`: from the word that closes to the word that stands. `pause_us`: of the booth that took longest."""
+
+    booths: int
+    closing_us: int
+    pause_us: int
+    calm_a_second: int
+    change_a_second: int
+    bytes_of_word: int
+    took_s: float
+
+
+def asked(*, world: PlatformWorld) -> int:
+    """How many questions of booths all guildhalls have answered."""
+    counts: Counter[str] = Counter()
+    for name in world.guildhalls:
+        counts += world.contexts[name].counters.counts
+    return counts["relay.whole"] + counts["relay.changes"]
+
+
+def measure(*, booths: int, seed: int = 1) -> Growth:
+    began_s = time.process_time()
+    world = PlatformWorld(seed=seed, booths=booths)
+    try:
+        world.begin()
+        before = asked(world=world)
+        world.advance(for_ms=CALM_MS)
+        calm = (asked(world=world) - before) * 1_000 // CALM_MS
+        before, from_us = asked(world=world), world.now_us
+        assert not propose(world=world)
+        await_phase(world=world, phase=ShardPhase.closing)
+        closes_us = world.now_us
+        moved(world=world, within_ms=30_000)
+        over_us = world.now_us
+        change = (asked(world=world) - before) * 1_000_000 // (over_us - from_us)
+        duties = [world.roles[name].guildhall.shards for name in world.guildhalls]
+        return Growth(
+            booths=booths,
+            closing_us=max(duty.closing_us or 0 for duty in duties),
+            pause_us=over_us - closes_us,
+            calm_a_second=calm,
+            change_a_second=change,
+            bytes_of_word=len(duty_of(world=world).state.bytes()),
+            took_s=time.process_time() - began_s,
+        )
+    finally:
+        world.close()
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m cinderstair.fairground.platformsim.shard_growth")
+    parser.add_argument("--booths", default="9,27,81")
+    options = parser.parse_args()
+    see_adapter()
+    print("| Booths | Closing, ms | All hold it after, ms | Questions a second, calm | while it changes | Core, s |")
+    print("| ---: | ---: | ---: | ---: | ---: | ---: |")
+    for count in options.booths.split(","):
+        found = measure(booths=int(count))
+        print(
+            f"| {found.booths} | {found.closing_us // 1_000} | {found.pause_us // 1_000} | {found.calm_a_second} "
+            f"| {found.change_a_second} | {found.took_s:.1f} |",
+            flush=True,
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
