The explorer's help says what may go wrong how often

Cause: each bound's help repeated its own name. Ruled out: longer flags, which scripts would have to spell out.

--- a/src/cinderstair/fairground/explorer/__main__.py
+++ b/src/cinderstair/fairground/explorer/__main__.py
@@ -14,7 +14,16 @@
 from .explorer_faults import FAULTS
 from .models import MODELS
 from .search_report import SearchReport
-from .world_state import Budget
+
+BUDGET_WORDS = {
+    "losses": "messages may be lost",
+    "late": "questions may arrive after they were given up",
+    "doubles": "questions may arrive twice",
+    "restarts": "vaults may lose their power",
+    "wipes": "vaults may lose their disks",
+    "passes": "times a second may pass",
+    "timers": "timers may fire",
+}
 
 
 def count(text: str) -> int:
@@ -37,10 +46,10 @@
         "--breadth", action="store_true", help="every choice costs the same: shortest ways, small depths"
     )
     found.add_argument("--states", type=count, default=1_000_000, help="the most states (default: a million)")
-    for name in Budget._fields:
-        found.add_argument(f"--{name}", type=count, help=f"how many {name} (default: the model's)")
+    for name, words in BUDGET_WORDS.items():
+        found.add_argument(f"--{name}", type=count, help=f"how many {words} (default: the model's)")
     found.add_argument("--fault", default="", choices=["", *FAULTS], help="a fault to switch in")
-    found.add_argument("--replay", type=choice_list, metavar="N,N,...", help="only take these choices, one by one")
+    found.add_argument("--replay", type=choice_list, metavar="N,N,...", help="only these, other arguments as before")
     return found
 
 
@@ -48,7 +57,7 @@
     options = parser().parse_args(argv)
     if options.breadth and options.turns is not None:
         parser().error("--breadth knows no turns")
-    given = {name: getattr(options, name) for name in Budget._fields}
+    given = {name: getattr(options, name) for name in BUDGET_WORDS}
     exploration = Exploration(
         model=options.model,
         depth=options.depth,
