CAPACITY tells of vectors by edition; its tool no longer counts whole ones each time

Cause: the tool reckoned a whole vector a question, which is no longer sent. Ruled out: dropping the turn (a whole one is still told at a start). After: told once an asker and life. The rows that need the wires were not run again.

--- a/src/cinderstair/fairground/capacity/reckoning.py
+++ b/src/cinderstair/fairground/capacity/reckoning.py
@@ -10,7 +10,7 @@
 from .users_size import UsersSize
 
 # of the product: how often a booth tends, a guildhall looks over the news, a view and a booth ask
-TENDS_S, LOOKS_S, VIEWS_S, ASKS_S, NEWS_S = 5.0, 10.0, 5.0, 4.0, 2.5
+TENDS_S, LOOKS_S, ASKS_S, NEWS_S = 5.0, 10.0, 4.0, 4.0
 # a planned change of primary is written as closing, moving and settled, and two backends then say another role
 WRITES_A_MOVE, BEATS_A_MOVE = 3, 2
 BOOTH_LEASE_S, PULL_WAIT_S = 1.2, 0.45
@@ -174,10 +174,9 @@
             part = math.nan if fit is None else fit.coefficients.get(term, math.nan) * TERMS[term](self.step)
             spread = math.nan if fit is None else fit.errors.get(term, math.nan) * TERMS[term](self.step)
             self._row("guildhall", f"of the idle: {label}", part, "B/s", source=term, spread=spread)
-        vector = self.turn("guildhall", "vector_bytes") * VIEWS_S * (size.voters // 2)
-        self._row(
-            "guildhall", "vectors asked for, by their size", vector, "B/s", source="guildhall turn vector_bytes"
-        )
+        # why: told whole once to each asker in each life of a vault; from then on only what came since
+        vector = self.turn("guildhall", "vector_bytes")
+        self._row("guildhall", "a whole vector, at a start", vector, "B", source="guildhall turn vector_bytes")
 
     def _guildhall_processor(self) -> None:
         size = self.size
