--- a/src/cinderstair/fairground/capacity/reckoning.py
+++ b/src/cinderstair/fairground/capacity/reckoning.py
@@ -10,7 +10,7 @@
 from .users_size import UsersSize
 
 # of the product: how often a booth tends, a guildhall looks over the news, a view and a booth ask
-TENDS_S, LOOKS_S, ASKS_S, NEWS_S = 5.0, 10.0, 4.0, 4.0
+TENDS_S, LOOKS_S, ASKS_S = 5.0, 10.0, 4.0
 # a planned change of primary is written as closing, moving and settled, and two backends then say another role
 WRITES_A_MOVE, BEATS_A_MOVE = 3, 2
 BOOTH_LEASE_S, PULL_WAIT_S = 1.2, 0.45
