The fault forwards_unchecked is looked for with seed 7; seed 3 no longer brings it about

Cause: taken over beside the shared samples, the ways round and the shard map's change, the trial draws otherwise. Same trial, fault, rule and words.

--- a/src/cinderstair/fairground/platformsim/platformfaults.feature
+++ b/src/cinderstair/fairground/platformsim/platformfaults.feature
@@ -32,7 +32,7 @@
 
     Examples: statements passed on between booths
       | fault               | trial                  | seed | rule    | words                      |
-      | forwards_unchecked  | few_links_frozen       | 3    | LATE    | after its client's answer  |
+      | forwards_unchecked  | few_links_frozen       | 7    | LATE    | after its client's answer  |
       | forwards_promised   | few_links_answers_lost | 2    | TWICE   | stands in                  |
       | forwards_any_values | few_links_calm         | 1    | PINNED  | values                     |
       | links_at_once       | few_links_ids_change   | 1    | CAP     | booths hold 4 of 9         |
