A booth is ready only once ids are dealt, since before that it may hold no link

Ruled out: the late booth, its view and the shard map (no refusal of theirs). Where all is started again the ids stand in the register.

--- a/src/cinderstair/booth/booth.py
+++ b/src/cinderstair/booth/booth.py
@@ -77,6 +77,8 @@
     def ready(self) -> bool:
         """Whether new clients should come here."""
         known = self.view.plan is not None and self.ctx.nowUs() - self.view.as_of_us < READY_AGE_US
+        # why: before any ids are dealt nobody knows its part of any cap, and so a booth may hold no link
+        known = known and (not self.records or bool(self.view.slots.names))
         # why: where guildhalls answer and know nothing, no other booth would serve any better
         return known and not self.draining and not self.view.alone_us
 
