--- a/src/cinderstair/booth/detours.py
+++ b/src/cinderstair/booth/detours.py
@@ -1,5 +1,6 @@
 """Ways round: a primary that this booth can't reach, and another booth can, is reached by way of that booth."""
 
+import asyncio
 from collections.abc import Callable
 
 from ..pitch.context import Context
@@ -10,6 +11,8 @@
 # why: a little over two tries, so that one answer that is late ends no way that is good
 PROVEN_FOR_US = 900_000
 PROBE_WAIT_US = 500_000
+# why: a cut may part most booths from a primary, and each turn that finds nobody costs clients a third of a second
+ASKED_AT_ONCE = 3
 
 
 class Detours:
@@ -50,27 +53,30 @@
         for table in (self.ways, self.tried_us, self.refused):
             table.pop(name, None)
 
-    def _next(self, *, pool: LinkPool) -> Holder | None:
-        """The one that serves as the way now; else one not asked yet, of the nearest or of all, by luck."""
+    def _next(self, *, pool: LinkPool) -> list[Holder]:
+        """The one that serves as the way now; else some not asked yet, of the nearest and of all in turn, by luck."""
         name = pool.backend.name
         found = self.ways.get(name)
         if found is not None:
-            return found[0].holders[0]
+            return [found[0].holders[0]]
         refused = self.refused.setdefault(name, set())
         others = [holder for holder in self.others(pool) if holder.name not in refused]
         if not others:
             refused.clear()
-            return None
+            return []
         near = min(holder.near for holder in others)
-        nearest = [holder for holder in others if holder.near == near]
+        self.ctx.luck.shuffle(others)
         # why: a cut may part whole zones as well as single booths, so that the nearest may all be of no use
-        return self.ctx.luck.choice(nearest if len(refused) % 2 == 0 else others)
+        others.sort(key=lambda holder: holder.near > near)
+        return [*others[: ASKED_AT_ONCE - 1], *others[ASKED_AT_ONCE - 1 :][-1:]]
 
     async def _prove(self, *, pool: LinkPool, service: str) -> None:
+        holders = self._next(pool=pool)
+        await asyncio.gather(*(self._prove_by(pool=pool, service=service, holder=holder) for holder in holders))
+
+    async def _prove_by(self, *, pool: LinkPool, service: str, holder: Holder) -> None:
         name, forwarder = pool.backend.name, self.forwarder
-        holder = self._next(pool=pool)
-        if holder is None or forwarder is None:
-            return
+        assert forwarder is not None
         self.ctx.counters.add(name="detours.tried")
         until_us = self.ctx.nowUs() + PROBE_WAIT_US
         taken = await forwarder.link(
@@ -86,11 +92,15 @@
             except ConnectionError:
                 pass
             taken.ok.close()
+        found = self.ways.get(name)
         if proven and pool.unreachable:
-            self._keep(pool=pool, holder=holder, asked_us=asked_us)
+            # why: of several that answer the first is the way
+            if found is None or found[0].holders[0] == holder:
+                self._keep(pool=pool, holder=holder, asked_us=asked_us)
             return
         self.refused.setdefault(name, set()).add(holder.name)
-        self.ways.pop(name, None)
+        if found is not None and found[0].holders[0] == holder:
+            del self.ways[name]
 
     def _keep(self, *, pool: LinkPool, holder: Holder, asked_us: int) -> None:
         name = pool.backend.name
--- a/src/cinderstair/booth/router.py
+++ b/src/cinderstair/booth/router.py
@@ -46,6 +46,7 @@
 RISE_US = 1_500_000
 UNPLACED_US = 10_000_000
 TENDED_AT_ONCE = 50
+UNHEARD_US, LOOKED_AT_ONCE = 300_000, 64
 TABLES = (SLOTS_KEY, PLACES_KEY)
 RECKONED = (PLAN_KEY, SLOTS_KEY, PLACES_KEY, "backends")
 
@@ -71,6 +72,7 @@
         self.region = region
         # why: set where this booth can be reached by others; without it links are lent
         self.forwarder: Forwarder | None = None
+        self.doubt_us = -1
         self.detours = Detours(ctx=ctx, others=self._others)
         self.links: dict[tuple[str, int], dict[int, int]] = {}
         self.table_us = -RISE_US
@@ -292,10 +294,15 @@
             lead = self.view.leads.get(self.pools[name].backend.service)
             self._obey(name=name, leads=lead is not None and lead.primary == name)
         for pool in self.pools.values():
-            if pool.taken or pool.silent:
+            silent = pool.silent
+            if pool.taken or silent:
                 pool.check_silence()
+            if pool.silent and not silent:
+                self.doubt_us = self.ctx.nowUs()
             if pool.unreachable or pool.backend.name in self.detours.ways:
                 self._go_round(pool=pool)
+        if self.doubt_us == self.ctx.nowUs():
+            self._look_at_others()
         for service in self._tended(names=list(plan.services)):
             lead = self.view.leads.get(service)
             if lead is None:
@@ -308,6 +315,19 @@
                 copies[0].warm(count=1)
             self._sample(service=service, lead=lead)
 
+    def _look_at_others(self) -> None:
+        """Where one backend has fallen silent others may have, and what looks is lost to no client."""
+        now_us, looked = self.ctx.nowUs(), 0
+        for service, lead in self.view.leads.items():
+            pool = self.pools.get(lead.primary)
+            quiet = pool is not None and not pool.silent and not pool.taken and now_us - pool.heard_us > UNHEARD_US
+            if pool is not None and quiet and pool.idle and self.may_lead(service=service).is_ok():
+                looked += 1
+                self.ctx.counters.add(name="links.doubted")
+                self.ctx.spawn(work=self.sample(service=service), name="sample")
+            if looked >= LOOKED_AT_ONCE:
+                return
+
     def _go_round(self, *, pool: LinkPool) -> None:
         """A primary that can't be reached from here may be by way of another booth; of copies there are others."""
         lead = self.view.leads.get(pool.backend.service)
--- a/src/cinderstair/fairground/platformsim/lead_trials.py
+++ b/src/cinderstair/fairground/platformsim/lead_trials.py
@@ -329,7 +329,7 @@
     world.advance(for_ms=1_500)
     old, promotions = world.primary(), len(world.platform.calls)
     cut = world.luck.sample(world.booths, len(world.booths) // 2)
-    world.cut(ones=[old.name], others=cut)
+    world.cut(ones=[old.name, world.primary(service="ledger1").name], others=cut)
     # why: until a silence is noticed what was sent into it is lost to its clients
     world.advance(for_ms=2_500)
     served, owed = world.served, world.owed
@@ -355,6 +355,18 @@
     )
 
 
+def silence_looked_at(world: PlatformWorld) -> None:
+    """Booths with little to do are cut off from all primaries: where one falls silent the others are looked at."""
+    world.advance(for_ms=6_000)
+    cut = world.booths[1:]
+    world.cut(ones=[world.primary(service=name).name for name in world.services], others=cut)
+    world.advance(for_ms=8_000)
+    doubted = sum(world.contexts[name].counters.counts["links.doubted"] for name in cut)
+    assert doubted, "nobody looked at the other primary where one had fallen silent"
+    world.heal()
+    world.advance(for_ms=4_000)
+
+
 def primary_dies_behind_detours(world: PlatformWorld) -> None:
     """A primary that some booths reach by way of others dies: nothing acknowledged is lost, nothing lands twice."""
     world.advance(for_ms=1_500)
--- a/src/cinderstair/fairground/platformsim/platform_trials.py
+++ b/src/cinderstair/fairground/platformsim/platform_trials.py
@@ -25,6 +25,7 @@
     think_us: int = 280_000
     transaction_share: float = 0.3
     booths: int = 3
+    services: int = 2
     max_links: int = 60
     region_us: int = REGION_US
     drain_us: int = DRAIN_US
@@ -63,6 +64,7 @@
         Trial(lead_trials.booth_cut_off_unconfirmed, ("ONE", "REFUSED"), waits_for=0),
         Trial(lead_trials.primary_cut),
         Trial(lead_trials.primary_cut_from_booths, clients=18, booths=6),
+        Trial(lead_trials.silence_looked_at, clients=24, booths=4, services=5, think_us=700_000),
         Trial(lead_trials.primary_dies_behind_detours, MOVE, clients=18, booths=6),
         Trial(lead_trials.platform_troubled, (*MOVE, "REFUSED")),
         Trial(lead_trials.far_regions, region_us=75_000),
@@ -202,6 +204,7 @@
         seed=seed,
         waits_for=trial.waits_for,
         booths=trial.booths,
+        services=trial.services,
         max_links=trial.max_links,
         region_us=trial.region_us,
         drain_us=trial.drain_us,
--- a/src/cinderstair/fairground/platformsim/platformsim.feature
+++ b/src/cinderstair/fairground/platformsim/platformsim.feature
@@ -30,6 +30,7 @@
       | far_regions                 | 85    | 3    |
       | primary_cut                 | 90    | 1    |
       | primary_cut_from_booths     | 93    | 3    |
+      | silence_looked_at           | 80    | 2    |
       | primary_dies_behind_detours | 85    | 3    |
       | platform_troubled           | 90    | 1    |
 
