Proxies acknowledge a commit only while their view allows its primary

A write sent before the failover waits at the old primary, which the controllers can't reach; a replica that starts later confirms it, and the proxy tells the client that it is done, although its own view may by then show another primary or have expired. Change: CommitAcknowledgement. A commit is acknowledged while a current view shows its backend as the primary in the commit's term, or if the fence of the newest promotion covers its position; otherwise its outcome is unknown. Where the view has expired the proxy waits for the next answer of a controller, at most until the deadline. A commit of a transaction with changes isn't sent to a replaced primary: unsent, it is certainly not kept. "A position requested before a promotion of the same backend is not used during it" expected a commit at 3.5 to be acknowledged after a promotion with fence 3.2, which is the fault itself; it now expects outcomeUnknown, the check of the sampled position is unchanged.

--- a/features/pooler/router.feature
+++ b/features/pooler/router.feature
@@ -146,7 +146,7 @@
     And 100 ms pass
     And a promotion of "a" with fence 3.2 starts, expected to end in 500 ms
     And 200 ms pass
-    Then the client's replies are "done I"
+    Then the client's replies are "outcomeUnknown I"
     And a read with bounded consistency, maximum age 900 ms and last commit - requires "tooStale"
 
   Scenario Outline: The limits of all proxies add up to the backend's cap
--- a/features/pooler/session.feature
+++ b/features/pooler/session.feature
@@ -420,3 +420,70 @@
     And the configuration removes the database
     And the client runs "FETCH 2, COMMIT, FETCH 3"
     Then the client's replies are "done T, done T, done T, done I, unknownDatabase I"
+
+  # -- acknowledged commits --
+
+  Scenario Outline: A commit that the new primary may lack is not acknowledged: <answer> beside a fence of <fence>
+    # guards against acknowledged commits that are lost because the replaced primary confirmed them late
+    Given "a" answers "<answer>"
+    When the client starts "PUT 1 x"
+    And 50 ms pass
+    And a promotion of "b" with fence <fence> starts, expected to end in 900 ms
+    And 200 ms pass
+    Then the client's replies are "<replies>"
+    And every link is released
+
+    Examples: the answer arrives after the promotion has started
+      | answer   | fence | replies          |
+      | slow 100 | 3.4   | outcomeUnknown I |
+      | slow 100 | 3.5   | done I           |
+
+    Examples: the answer arrived before
+      | answer | fence | replies |
+      | ok     | 3.4   | done I  |
+
+  Scenario: The commit of a transaction that the new primary may lack is not acknowledged
+    Given "a" answers "ok, ok, slow 100"
+    When the client runs "BEGIN, PUT 1 x"
+    And the client starts "COMMIT"
+    And 50 ms pass
+    And a promotion of "b" with fence 3.4 starts, expected to end in 900 ms
+    And 200 ms pass
+    Then the client's replies are "done T, done T, outcomeUnknown I"
+    And every link is released
+
+  Scenario: The commit of a transaction that changed data is not sent to a replaced primary
+    When the client runs "BEGIN, PUT 1 x"
+    And a promotion of "b" with fence 3.5 starts, expected to end in 900 ms
+    And the client runs "COMMIT"
+    Then the client's replies are "done T, done T, transactionLost I"
+    And "a" was sent "begin, PUT 1 x, close"
+
+  Scenario: A commit of a transaction without changes is still sent to a replaced primary
+    When the client runs "BEGIN, FETCH 1"
+    And a promotion of "b" with fence 3.5 starts, expected to end in 900 ms
+    And the client runs "COMMIT"
+    Then the client's replies are "done T, done T, done I"
+
+  Scenario Outline: A commit that is answered while the view has expired is acknowledged once the view confirms the primary
+    Given "a" answers "slow 400"
+    And the proxy has received no relay answer for 900 ms
+    When the client starts "PUT 1 x"
+    And <silence> ms pass
+    And the proxy receives relay answers again
+    And 500 ms pass
+    Then the client's replies are "<replies>"
+    And every link is released
+
+    Examples:
+      | silence | replies          |
+      | 600     | done I           |
+      | 900     | outcomeUnknown I |
+
+  Scenario: A primary's late answer for a commit of its earlier term is not acknowledged after its next promotion
+    Given "a" answers "slow 400"
+    When the client starts "PUT 1 x"
+    And 50 ms pass
+    And the promotion of "a" ends after 0 ms
+    And 500 ms pass
+    Then the client's replies are "outcomeUnknown I"
--- a/features/steps/session_steps.py
+++ b/features/steps/session_steps.py
@@ -231,12 +231,18 @@
     return RelayAnswer(source=1, revision=reported.revision, age_us=0, full=False, values=(value,))
 
 
+@given("the proxy has received no relay answer for {wait_ms:d} ms")
 @when("the proxy has received no relay answer for {wait_ms:d} ms")
 def when_no_answer(context: Any, wait_ms: int) -> None:
     context.reported.in_touch = False
     context.stage.advance(for_us=wait_ms * 1_000)
 
 
+@when("the proxy receives relay answers again")
+def when_answers_again(context: Any) -> None:
+    context.reported.in_touch = True
+
+
 @when('"{name}" announces that it is {state}')
 def when_announces(context: Any, name: str, state: str) -> None:
     context.numbers[name] += 1
--- a/src/cinderstair/pooler/router_base.py
+++ b/src/cinderstair/pooler/router_base.py
@@ -4,6 +4,7 @@
 
 from ..config.service_plan import DatabaseRoute
 from ..runtime.context import Context
+from .commit_acknowledgement import CommitAcknowledgement
 from .detours import Detours
 from .forwarder import Forwarder, PeerProxy
 from .freshness import Freshness
@@ -68,6 +69,7 @@
         self.increase_pending = False
         self.addresses_unavailable = False
         self.sampling_round = 0
+        self.commit_acknowledgement = CommitAcknowledgement(ctx=ctx, view=view)
         self.shards = Shards(ctx=ctx, view=view, has_open_writes=has_open_writes)
         self._connect_view()
 
--- a/src/cinderstair/pooler/session_base.py
+++ b/src/cinderstair/pooler/session_base.py
@@ -117,6 +117,18 @@
             self.router.shards.in_flight.sent(database=self.database, link=link, answer=reply)
         return reply
 
+    async def _acknowledgeable(self, *, pool: LinkPool, service: str, reply: Reply, until_us: int) -> Reply:
+        """The reply to a write or a commit, or an unknown outcome where its commit may be lost in a failover.
+
+        :param until_us: the deadline, by this proxy's clock.
+        """
+        if reply.not_run or reply.fault is not None:
+            return reply
+        allowed = await self.router.commit_acknowledgement.allowed(
+            service=service, backend=pool.backend.name, position=reply.position, until_us=until_us
+        )
+        return reply if allowed else refusal(kind=ErrorCode.OUTCOME_UNKNOWN)
+
     def _takes_effect(self, *, statement: Statement) -> bool:
         """Whether the statement makes changes visible to other sessions: a single write, or a read-write commit."""
         if self.transaction is None:
--- a/src/cinderstair/pooler/single_write.py
+++ b/src/cinderstair/pooler/single_write.py
@@ -109,6 +109,7 @@
             return None
         pool.release(link=link)
         self.router.record_reply(pool=pool, service=route.service, requested_us=requested_us, reply=reply)
+        reply = await self._acknowledgeable(pool=pool, service=route.service, reply=reply, until_us=until_us)
         if not reply.not_run and reply.fault is None and reply.position is not None:
             self.last_commit = CommitPosition(route.service, reply.position)
         # A single statement leaves no open transaction, whatever state a backend reports after a failure.
--- a/src/cinderstair/pooler/transaction_statements.py
+++ b/src/cinderstair/pooler/transaction_statements.py
@@ -30,7 +30,11 @@
         link, pool = begun.ok, transaction.pool
         commits = statement.verb == Verb.commit
         state_if_lost = State.idle if commits else State.failed
-        if pool is None or not link.open or not self._may_continue(transaction=transaction):
+        may_run = pool is not None and self._may_continue(transaction=transaction)
+        if commits and transaction.wrote and pool is not None:
+            # An unsent commit is certainly not kept, so the client can repeat the transaction at the new primary.
+            may_run = may_run and not self._replaced(pool=pool, transaction=transaction)
+        if pool is None or not link.open or not may_run:
             self._discard(transaction=transaction)
             return refusal(kind=ErrorCode.TRANSACTION_LOST, state=state_if_lost)
         reply = await self._run_on(
@@ -56,6 +60,12 @@
             database=self.database, since_us=transaction.arrived_us
         )
 
+    def _replaced(self, *, pool: LinkPool, transaction: Transaction) -> bool:
+        """Whether the backend that began the transaction is no longer the primary of its service."""
+        return self.router.commit_acknowledgement.replaced(
+            service=transaction.route.service, backend=pool.backend.name
+        )
+
     async def _run_on(
         self, *, transaction: Transaction, link: Link, pool: LinkPool, statement: Statement, until_us: int
     ) -> Reply | None:
@@ -99,13 +109,17 @@
         return await self._commit(transaction=transaction, statement=statement)
 
     async def _commit(self, *, transaction: Transaction, statement: Statement) -> Reply:
+        until_us = self.ctx.now_us() + transaction.route.time_limit_us - REPLY_MARGIN_US
         reply = await self._send_commit(transaction=transaction, statement=statement)
         self.transaction = None
         if reply.state != State.idle:
             self._spawn_rollback(transaction=transaction)
             reply.state = State.idle
             return reply
+        pool, service = transaction.pool, transaction.route.service
         transaction.release_link(keep=True)
+        if transaction.wrote and pool is not None:
+            reply = await self._acknowledgeable(pool=pool, service=service, reply=reply, until_us=until_us)
         if reply.fault is None and transaction.wrote and reply.position is not None:
             self.last_commit = CommitPosition(transaction.route.service, reply.position)
         return reply
