--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -36,7 +36,7 @@
     And "a" crashes
     And "a" is suspected
     Then "c" is primary and the assignment is settled within 4000 ms
-    And the assignments written were "settled a 3, moving c 4, settled c 4"
+    And the assignments written were "settled a 3, moving c 4, moving c 4, settled c 4"
     And all older views expired between the end of the old assignment and the next settled one
     And the fence position is at or after every acknowledged commit
     And no acknowledged commit is lost
@@ -357,7 +357,7 @@
     And "a" crashes
     And "a" is suspected
     Then "c" is primary and the assignment is settled within 4000 ms
-    And the assignments written were "settled a 3, moving c 4, settled c 4"
+    And the assignments written were "settled a 3, moving c 4, moving c 4, settled c 4"
     And no acknowledged commit is lost
 
   Scenario Outline: The deregistration of an unreachable replica, reached by <reached> of <asked> others, is settled: <word>
@@ -406,3 +406,52 @@
     Then it holds the failover lease, its view counts as current, and it writes nothing
     When the reads of the second controller succeed again
     Then it allocates a fence number, and then confirms the assignment
+
+  Scenario Outline: A replica that starts after the others were paused lets no acknowledged commit be lost: <answer>, <whom>
+    # guards against a promotion while proxies still acknowledge commits that only a replica unknown so far has confirmed
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that <answer> notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" is unreachable to the controllers
+    And "a" is suspected
+    And the replicas are paused
+    And replica "d" starts, and its heartbeats reach <whom>
+    Then "d" is primary and the assignment is settled within 6000 ms
+    And no acknowledged commit is lost
+    And commits are acknowledged again
+    And no controller has crashed
+
+    Examples:
+      | answer        | whom                                 |
+      | answer        | the lease holder                     |
+      | answer        | another controller                   |
+      | answer        | the lease holder only after 1500 ms  |
+      | do not answer | the lease holder                     |
+      | do not answer | another controller                   |
+
+  Scenario Outline: A promotion waits until no proxy acts on an older view, and no longer: proxies <answer>
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that <answer> notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" is unreachable to the controllers
+    And "a" is suspected
+    Then "b" is primary and the assignment is settled within 4000 ms
+    And the promotion was requested <least> to <most> ms after the assignment was moving
+    And no acknowledged commit is lost
+
+    Examples:
+      | answer        | least | most |
+      | answer        | 100   | 160  |
+      | do not answer | 1100  | 1400 |
+
+  Scenario: A replica that restarted after it was paused is paused again before the promotion
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that do not answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" is unreachable to the controllers
+    And "a" is suspected
+    And the assignment is moving
+    And "c" restarts, which ends its pause
+    Then the assignment is settled on another backend within 6000 ms
+    And no acknowledged commit is lost
+    And commits are acknowledged again
--- a/features/simulation/platformsim/platformfaults.feature
+++ b/features/simulation/platformsim/platformfaults.feature
@@ -21,6 +21,8 @@
       | own_commits_ignored              | replicas_lag                          | 1    | STALE   | self_hosted read                          |
       | old_samples_taken_as_new         | replicas_lag                          | 2    | STALE   | recent_enough read                        |
       | least_current_replica_promoted   | primary_crash_replication_interrupted | 1    | LOST    | was promoted without acknowledged commit  |
+      | successor_unchecked              | paused_replica_restarts               | 1    | LOST    | was promoted without acknowledged commit  |
+      | late_commits_acknowledged        | replica_joins_before_failover         | 4    | LOST    | was promoted without acknowledged commit  |
       | drain_drops_connections          | proxies_stopped                       | 1    | LOST    | closed the connection during              |
       | drain_ignored                    | release_replicas                      | 1    | DRAIN   | after its draining was acknowledged       |
       | plan_never_updated               | configurations                        | 1    | CONFIG  | was acknowledged                          |
--- a/features/simulation/platformsim/platformsim.feature
+++ b/features/simulation/platformsim/platformsim.feature
@@ -34,6 +34,12 @@
       | primary_crash_behind_detours            | 85    | 3    |
       | platform_unavailable                    | 90    | 1    |
 
+    Examples: a replica begins to confirm commits of a primary that the controllers can't reach
+      | trial                         | share | last |
+      | replica_joins_during_failover | 93    | 3    |
+      | replica_joins_before_failover | 93    | 4    |
+      | paused_replica_restarts       | 93    | 6    |
+
     Examples: controllers or proxies fail during a failover
       | trial                                 | share | last |
       | lease_holder_killed                   | 90    | 2    |
--- a/features/steps/cluster_stage.py
+++ b/features/steps/cluster_stage.py
@@ -12,6 +12,7 @@
 from cinderstair.consensus.register_view import RegisterView
 from cinderstair.consensus.roster import Roster, Voter
 from cinderstair.consensus.versioned_value import VersionedValue
+from cinderstair.failover.acknowledged_commits import AcknowledgedCommits
 from cinderstair.failover.backend_control import BackendState
 from cinderstair.failover.reachability_votes import ReachabilityVotes
 from cinderstair.failover.service_failover import ServiceFailover
@@ -30,6 +31,9 @@
 VIEW_EXPIRY_US = LEASE_US + LEASE_US // 10
 PROMOTED_US = 300_000
 COMMIT_US = 5_000
+# How long proxies take to answer a notice, and how long one that is silent is waited for.
+NOTICE_US = 100_000
+NOTICE_WAIT_US = 400_000
 ROSTER = Roster(epoch=1, voters=(Voter(ident=1, name="vault-1", address="10.0.0.1:1"),))
 
 
@@ -148,6 +152,11 @@
         self.calls: list[tuple[int, str, int]] = []
         self.refuses: set[str] = set()
         self.writing = False
+        # whether all proxies answer a notice, whether they have, and whether one acknowledges a backend's commits
+        self.proxies_answer = True
+        self.proxies_notified = False
+        self.proxies_acknowledge: Callable[[str], bool] = lambda name: True
+        self.acknowledged_us = 0
         self.heartbeat_listeners: list[Callable[[Announcement], None]] = []
         stage.call(call=lambda: stage.ctx.spawn(work=self._heartbeat()))
         stage.call(call=lambda: stage.ctx.spawn(work=self._commit()))
@@ -186,8 +195,26 @@
                 ]
                 for replica in receivers:
                     replica.at = max(replica.at, made)
-                if len(receivers) >= self.confirmations:
+                if len(receivers) >= self.confirmations and self.proxies_acknowledge(primary.name):
                     self.acknowledged = max(self.acknowledged, made)
+                    self.acknowledged_us = self.stage.now_us
+
+    async def notify_proxies(self, service: str, running_us: int) -> AcknowledgedCommits | None:
+        """What the proxies have acknowledged, as `NotifyProxies` returns it; None after a while if one is silent."""
+        if not self.proxies_answer:
+            await asyncio.sleep(NOTICE_WAIT_US / 1_000_000)
+            return None
+        await asyncio.sleep(NOTICE_US / 1_000_000)
+        self.proxies_notified = True
+        return AcknowledgedCommits(position=self.acknowledged, last_ago_us=self.stage.now_us - self.acknowledged_us)
+
+    def add_replica(self, *, name: str) -> SimulatedBackend:
+        """Starts a replica that has the primary's log and receives what follows; it sends no heartbeats yet."""
+        primary = max((each for each in self.backends.values() if each.is_primary), key=lambda each: each.term)
+        replica = SimulatedBackend(name=name, is_primary=False, at=primary.at)
+        replica.heartbeats = False
+        self.backends[name] = replica
+        return replica
 
     def _state(self, backend: SimulatedBackend) -> Result[BackendState, CinderstairError]:
         return Ok(
@@ -281,6 +308,7 @@
         self.stage = stage
         self.votes = ReachabilityVotes(reachable=0, answered=0)
         self.neighbours: list[str] = []
+        self.heartbeats_elsewhere: list[Announcement] = []
 
         def work() -> None:
             self.register = FakeRegister(ctx=self.ctx, store=context.store, proposer=number)
@@ -300,6 +328,12 @@
         await asyncio.sleep(0.005)
         return self.votes
 
+    async def _refresh_heartbeats(self) -> None:
+        """Takes the heartbeats that only other controllers have received so far."""
+        await asyncio.sleep(0.005)
+        for heartbeat in self.heartbeats_elsewhere:
+            self.heartbeat_table.receive(heartbeat=heartbeat)
+
     def start_failover(self, *, cluster: Cluster) -> None:
         def work() -> None:
             self.service_failover = ServiceFailover(
@@ -310,6 +344,8 @@
                 control=cluster,
                 promoter=cluster,
                 reachability_poll=self.reachability_votes,
+                notify_proxies=cluster.notify_proxies,
+                refresh_heartbeats=self._refresh_heartbeats,
                 lease_us=LEASE_US,
             )
 
--- a/features/steps/record_format_examples.py
+++ b/features/steps/record_format_examples.py
@@ -17,6 +17,13 @@
 from cinderstair.consensus.cell import Cell
 from cinderstair.consensus.durable_state import DurableState, apply_entry, cell_entry, ident_entry, roster_entry
 from cinderstair.consensus.roster import Roster, Voter, read_roster, read_voter, write_voter
+from cinderstair.failover.assignment_notice import (
+    AssignmentNotice,
+    ControllerReceipt,
+    ProxyReceipt,
+    read_controller_receipt,
+    read_proxy_receipt,
+)
 from cinderstair.failover.database_primary import CLOSING, MOVING, SETTLED, DatabasePrimary, read_database_primary
 from cinderstair.failover.proxy_addresses import ProxyAddress, ProxyAddresses, read_proxy_addresses
 from cinderstair.failover.proxy_ids import ProxyId, ProxyIds, read_proxy_ids
@@ -37,6 +44,7 @@
     RelayQuestion,
     read_relay_answer,
     read_relay_question,
+    read_relayed_value,
 )
 from cinderstair.pooler.forward_record import (
     ForwardRequest,
@@ -424,6 +432,25 @@
     return found
 
 
+def notice_examples() -> dict[str, Example]:
+    assignment = ServicePrimary(term=7, primary="db-2", state=PrimaryState.moving, fence=Position(6, 41), revision=3)
+    value = RelayedValue(key="service/alpha", ballot=Ballot(9, 0x55), value=assignment.bytes())
+    return {
+        "assignment notice": part_example(
+            value=AssignmentNotice(value=value),
+            read=lambda u: AssignmentNotice(value=read_relayed_value(u)),
+        ),
+        "controller receipt": bytes_example(
+            value=ControllerReceipt(proxies=("pooler-1", "pooler-2")),
+            read=lambda data: read_controller_receipt(data=data),
+        ),
+        "proxy receipt": bytes_example(
+            value=ProxyReceipt(running_us=5_000_000, acknowledged=Position(6, 41), acknowledged_ago_us=1_500),
+            read=lambda data: read_proxy_receipt(data=data),
+        ),
+    }
+
+
 def forward_examples() -> dict[str, Example]:
     steps = {
         "hello": (ForwardStep.hello, Verb.begin),
@@ -478,6 +505,7 @@
         **disk_examples(),
         **membership_examples(),
         **relay_examples(),
+        **notice_examples(),
         **forward_examples(),
         **session_examples(),
     }
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from cluster_stage import VIEW_EXPIRY_US, Cluster, new_controller, new_stage, put
 from expression import Error
-from stage import plan
+from stage import announcement, plan
 
 from cinderstair.config.service_plan import PLAN_KEY
 from cinderstair.failover.reachability_votes import ReachabilityVotes
@@ -19,6 +19,7 @@
 )
 from cinderstair.membership.announcement import GONE
 from cinderstair.membership.heartbeat import EMPTYING
+from cinderstair.pooler.relayed_view import LEASE_US
 from cinderstair.runtime.errors import CinderstairError, ErrorCode
 from cinderstair.runtime.position import Position
 
@@ -147,6 +148,12 @@
     context.cluster.backends[name].paused = False
 
 
+@when('"{name}" restarts, which ends its pause')
+def when_replica_restarts(context: Any, name: str) -> None:
+    replica = context.cluster.backends[name]
+    replica.paused, replica.held = False, 0
+
+
 @when('"{name}" is suspected')
 def when_suspected(context: Any, name: str) -> None:
     for controller in context.controller_stages:
@@ -164,6 +171,53 @@
     context.cluster.backends[name].reach = {"unreachable": "no", "silent": "silent", "reachable": "yes"}[reach]
 
 
+@given("proxies that {answer} notices of an assignment, and acknowledge commits by their views")
+def given_proxies(context: Any, answer: str) -> None:
+    cluster = context.cluster
+    cluster.proxies_answer = answer == "answer"
+
+    def acknowledge(name: str) -> bool:
+        written = [
+            (at_us, read_service_primary(data=value)) for at_us, key, value in context.store.writes if "/" in key
+        ]
+        assignment = written[-1][1]
+        if assignment.state != PrimaryState.moving:
+            return assignment.primary == name
+        moving_us = next(at_us for at_us, each in written if each.state == PrimaryState.moving)
+        views_expired = context.stage.now_us - moving_us >= LEASE_US
+        return written[0][1].primary == name and not cluster.proxies_notified and not views_expired
+
+    cluster.proxies_acknowledge = acknowledge
+
+
+@when('replica "{name}" starts, and its heartbeats reach {whom}')
+def when_replica_starts(context: Any, name: str, whom: str) -> None:
+    replica = context.cluster.add_replica(name=name)
+    if whom == "another controller":
+        replica.number += 1
+        heartbeat = announcement(name=name, number=replica.number)
+        context.controller_stages[0].heartbeats_elsewhere.append(heartbeat)
+        return
+
+    def send() -> None:
+        replica.heartbeats = True
+        context.cluster.send_heartbeat(backend=replica)
+
+    delay_us = 0 if whom == "the lease holder" else int(whom.split()[-2]) * 1_000
+    context.stage.call(call=lambda: context.stage.loop.call_later(delay_us / 1_000_000, send))
+
+
+@then("the promotion was requested {least_ms:d} to {most_ms:d} ms after the assignment was moving")
+def then_requested_after(context: Any, least_ms: int, most_ms: int) -> None:
+    moving_us = next(
+        at_us
+        for at_us, key, value in context.store.writes
+        if "/" in key and read_service_primary(data=value).state == PrimaryState.moving
+    )
+    took_us = context.cluster.calls[0][0] - moving_us
+    assert least_ms * 1_000 <= took_us <= most_ms * 1_000, took_us
+
+
 @when('"{name}" sends no more heartbeats')
 def when_heartbeats_stop(context: Any, name: str) -> None:
     context.cluster.backends[name].heartbeats = False
@@ -218,6 +272,16 @@
     context.stage.advance(for_us=1_200_000)
 
 
+@then("the assignment is settled on another backend within {most_ms:d} ms")
+def then_settled_elsewhere(context: Any, most_ms: int) -> None:
+    def settled() -> bool:
+        assignment = assignment_of(context=context)
+        return assignment is not None and assignment.primary != "a" and assignment.state == PrimaryState.settled
+
+    wait_for(context=context, test=settled, within_us=most_ms * 1_000)
+    context.stage.advance(for_us=1_200_000)
+
+
 @then('the assignments written were "{words}"')
 def then_assignment_went(context: Any, words: str) -> None:
     found = ", ".join(states_written(context=context))
--- a/src/cinderstair/consensus/register_view.py
+++ b/src/cinderstair/consensus/register_view.py
@@ -73,6 +73,10 @@
         if result.is_ok():
             self._apply_newer(key=key, found=result.ok)
 
+    def apply_read(self, *, key: str, found: VersionedValue) -> bool:
+        """Applies a value that another process has read or written; False if this version can't decode it."""
+        return self._apply_newer(key=key, found=found)
+
     def _apply_newer(self, *, key: str, found: VersionedValue) -> bool:
         """Applies a value if its ballot is higher; False if this version can't decode it."""
         known = self.known.get(key)
--- a/src/cinderstair/control_plane/controller.py
+++ b/src/cinderstair/control_plane/controller.py
@@ -26,6 +26,7 @@
 from .plan_store import PlanStore
 from .proxy_census import ProxyCensus, ShardMapStep
 from .proxy_id_assigner import ProxyIdAssigner
+from .proxy_notifier import ProxyNotifier
 from .reachability_poll import ReachabilityPoll
 from .relay import Relay
 from .shard_map_handler import ShardMapHandler
@@ -129,6 +130,14 @@
             control=self.control,
             peers=self.addresses.peers,
         )
+        self.proxy_notifier = ProxyNotifier(
+            ctx=self.ctx,
+            dispatcher=self.register_replica.dispatcher,
+            view=self.view,
+            relay=self.relay,
+            peers=self.addresses.relaying_peers,
+            expiry_us=self.proxy_lease_us + self.proxy_lease_us // 10,
+        )
         self.service_failover = ServiceFailover(
             ctx=self.ctx,
             register=self.register_replica.register,
@@ -137,6 +146,8 @@
             control=self.control,
             promoter=self.promoter,
             reachability_poll=self.reachability_poll.poll,
+            notify_proxies=self.proxy_notifier.notify,
+            refresh_heartbeats=self._refresh_heartbeats,
             lease_us=self.proxy_lease_us,
         )
         self.suspicion_reporter = SuspicionReporter(
@@ -207,6 +218,9 @@
             },
         )
 
+    async def _refresh_heartbeats(self) -> None:
+        await self.heartbeat_table.refresh(peers=tuple(self.addresses.relaying_peers()))
+
     async def _gather_votes(self) -> dict[str, ProxyVote]:
         return dict(await self.census.gather(every_us=CENSUS_PERIOD_US))
 
--- a/src/cinderstair/control_plane/controller_addresses.py
+++ b/src/cinderstair/control_plane/controller_addresses.py
@@ -2,7 +2,7 @@
 
 from ..consensus.register_replica import RegisterReplica
 from ..consensus.roster import Roster
-from ..membership.member import REGISTER_REPLICA_ROLE
+from ..membership.member import REGISTER_REPLICA_ROLE, Standing
 from ..runtime.settings import Settings
 
 
@@ -26,6 +26,20 @@
         # the register client may have learned a newer roster than the local replica holds
         return _voter_addresses(roster=self.register_replica.register.roster or self.register_replica.roster)
 
+    def relaying_peers(self) -> list[str]:
+        """The other controllers from which a proxy may have got a view that is still current.
+
+        These are all peers except voters that the membership has removed: a member is removed only long after it
+        stopped answering. One that announced its end may have answered proxies until just now.
+        """
+        membership = self.register_replica.membership
+        members = {} if membership is None else {each.records: each for each in membership.members.values()}
+        return [
+            address
+            for address in self.peers()
+            if address not in members or members[address].standing != Standing.dead
+        ]
+
     def peers(self) -> list[str]:
         """The other controllers: members and voters; the configured seeds stand in for voters without a roster."""
         roster = self.register_replica.roster or self.register_replica.register.roster
--- /dev/null
+++ b/src/cinderstair/control_plane/proxy_notifier.py
@@ -0,0 +1,146 @@
+"""Makes a primary assignment known to all controllers and proxies without waiting for their next pulls."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..consensus.register_view import RegisterView
+from ..consensus.versioned_value import VersionedValue
+from ..failover.acknowledged_commits import AcknowledgedCommits
+from ..failover.assignment_notice import (
+    AssignmentNotice,
+    ControllerReceipt,
+    ProxyReceipt,
+    read_assignment_notice,
+    read_controller_receipt,
+    read_proxy_receipt,
+)
+from ..failover.proxy_addresses import PROXY_ADDRESSES_KEY, read_proxy_addresses
+from ..failover.service_primary import service_primary_key
+from ..membership.relay_record import RelayedValue
+from ..runtime.context import Context
+from ..runtime.dispatcher import Dispatcher
+from ..runtime.message_types import MessageType
+from ..runtime.packer import Packer
+from ..runtime.position import START
+from ..runtime.unpacker import Unpacker
+from .relay import Relay
+
+# Allows for a connection that has to be made first between distant regions.
+RECEIPT_WAIT_US = 400_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class TimedReceipt:
+    """A proxy's receipt, and when the notice was sent to it, by the local clock."""
+
+    sent_us: int
+    receipt: ProxyReceipt
+
+
+class ProxyNotifier:
+    """Sends notices of assignments, and answers those of other controllers.
+
+    Each controller knows only the proxies that ask it for state. A proxy's view can be current only if the proxy has
+    asked some controller within `expiry_us`, so the proxies that all controllers name are all that matter.
+
+    :param peers: the addresses of the other controllers from which a proxy may have got its view.
+    :param expiry_us: after this time without an answer of a controller no view is current, in microseconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        dispatcher: Dispatcher,
+        view: RegisterView,
+        relay: Relay,
+        peers: Callable[[], list[str]],
+        expiry_us: int,
+    ) -> None:
+        self.ctx = ctx
+        self.view = view
+        self.relay = relay
+        self.peers = peers
+        self.expiry_us = expiry_us
+        dispatcher.add_handler(message_type=MessageType.RELAY_ASSIGNMENT, handler=self._on_notice)
+
+    async def _on_notice(self, unpacker: Unpacker) -> bytes:
+        value = read_assignment_notice(unpacker=unpacker).value
+        if not self.view.apply_read(key=value.key, found=VersionedValue(ballot=value.ballot, value=value.value)):
+            raise ValueError(f"the value of {value.key} can't be applied")
+        return ControllerReceipt(proxies=self._own_proxies()).bytes()
+
+    def _own_proxies(self) -> tuple[str, ...]:
+        return tuple(contact.name for contact in self.relay.recent_proxies(within_us=self.expiry_us))
+
+    async def notify(self, service: str, running_us: int) -> AcknowledgedCommits | None:
+        """See `NotifyProxies`."""
+        key = service_primary_key(service=service)
+        found = self.view.known[key]
+        notice = AssignmentNotice(value=RelayedValue(key=key, ballot=found.ballot, value=found.value))
+        # Proxies are notified while the controllers are still asked which of them matter.
+        tasks = {
+            name: self.ctx.spawn(work=self._notify_proxy(address=address, notice=notice), name="notice")
+            for name, address in self._addresses().items()
+        }
+        proxies = await self._proxies_of_all(notice=notice)
+        if proxies is None or not proxies <= tasks.keys():
+            return None
+        receipts = await asyncio.gather(*(tasks[name] for name in sorted(proxies)))
+        return self._combined(receipts=receipts, running_us=running_us)
+
+    def _addresses(self) -> dict[str, str]:
+        """The addresses of the proxies that accept records, by name."""
+        found = self.view.known.get(PROXY_ADDRESSES_KEY)
+        if found is None or not found.value:
+            return {}
+        addresses = read_proxy_addresses(data=found.value).addresses
+        return {name: address.records for name, address in addresses.items() if address.records}
+
+    async def _proxies_of_all(self, *, notice: AssignmentNotice) -> set[str] | None:
+        """The proxies whose views may be current; None if a controller did not answer."""
+        receipts = await asyncio.gather(
+            *(self._notify_controller(address=address, notice=notice) for address in self.peers())
+        )
+        proxies = set(self._own_proxies())
+        for receipt in receipts:
+            if receipt is None:
+                return None
+            proxies.update(receipt.proxies)
+        return proxies
+
+    async def _notify_controller(self, *, address: str, notice: AssignmentNotice) -> ControllerReceipt | None:
+        data = await self._request(address=address, message_type=MessageType.RELAY_ASSIGNMENT, notice=notice)
+        try:
+            return None if data is None else read_controller_receipt(data=data)
+        except ValueError:
+            self.ctx.counters.add(name="records.malformed")
+            return None
+
+    async def _notify_proxy(self, *, address: str, notice: AssignmentNotice) -> TimedReceipt | None:
+        sent_us = self.ctx.now_us()
+        data = await self._request(address=address, message_type=MessageType.APPLY_ASSIGNMENT, notice=notice)
+        try:
+            return None if data is None else TimedReceipt(sent_us=sent_us, receipt=read_proxy_receipt(data=data))
+        except ValueError:
+            self.ctx.counters.add(name="records.malformed")
+            return None
+
+    async def _request(self, *, address: str, message_type: MessageType, notice: AssignmentNotice) -> bytes | None:
+        body = notice.write(packer=Packer().u8(value=message_type)).bytes()
+        result = await self.ctx.peer_client.request(address=address, body=body, wait_us=RECEIPT_WAIT_US)
+        return result.ok if result.is_ok() else None
+
+    def _combined(self, *, receipts: list[TimedReceipt | None], running_us: int) -> AcknowledgedCommits | None:
+        """What the proxies have acknowledged; None if one did not answer, or started too recently to know."""
+        now_us = self.ctx.now_us()
+        position, last_us = START, 0
+        for timed in receipts:
+            if timed is None or timed.receipt.running_us < running_us + now_us - timed.sent_us:
+                return None
+            receipt = timed.receipt
+            position = max(position, receipt.acknowledged)
+            # The receipt was sent after the notice, so the acknowledgement is at most this old.
+            last_us = max(last_us, now_us - receipt.acknowledged_ago_us)
+        return AcknowledgedCommits(position=position, last_ago_us=now_us - last_us)
--- /dev/null
+++ b/src/cinderstair/failover/assignment_notice.py
@@ -0,0 +1,82 @@
+"""The messages by which a lease holder makes a new primary assignment known to all controllers and proxies."""
+
+from dataclasses import dataclass
+
+from ..membership.relay_record import RelayedValue, read_relayed_value
+from ..runtime.packer import Packer
+from ..runtime.position import Position
+from ..runtime.unpacker import Unpacker
+
+
+@dataclass(frozen=True, kw_only=True)
+class AssignmentNotice:
+    """A service's assignment, with the ballot under which the register accepted it."""
+
+    value: RelayedValue
+
+    def write(self, *, packer: Packer) -> Packer:
+        """Appends the encoded notice."""
+        self.value.write(packer=packer)
+        return packer
+
+
+def read_assignment_notice(*, unpacker: Unpacker) -> AssignmentNotice:
+    """Reads a notice. Raises ValueError if it is malformed or followed by other bytes."""
+    notice = AssignmentNotice(value=read_relayed_value(unpacker))
+    unpacker.done()
+    return notice
+
+
+@dataclass(frozen=True, kw_only=True)
+class ControllerReceipt:
+    """A controller's answer: it relays the assignment from now on.
+
+    :param proxies: the proxies that asked it for state so recently that their views may still be current.
+    """
+
+    proxies: tuple[str, ...]
+
+    def bytes(self) -> bytes:
+        """The encoded receipt."""
+        return Packer().many(values=self.proxies, each=lambda p, name: p.text(value=name)).bytes()
+
+
+def read_controller_receipt(*, data: bytes) -> ControllerReceipt:
+    """Decodes a receipt. Raises ValueError if it is malformed."""
+    unpacker = Unpacker(data=data)
+    receipt = ControllerReceipt(proxies=tuple(unpacker.many(each=lambda u: u.text())))
+    unpacker.done()
+    return receipt
+
+
+@dataclass(frozen=True, kw_only=True)
+class ProxyReceipt:
+    """A proxy's answer: it acts on the assignment from now on.
+
+    :param running_us: how long the proxy's process has been running; it knows nothing of an earlier process.
+    :param acknowledged: an upper bound of the positions of the service's log that it has acknowledged to clients;
+        START if it has acknowledged none.
+    :param acknowledged_ago_us: the time since the last of them.
+    """
+
+    running_us: int
+    acknowledged: Position
+    acknowledged_ago_us: int
+
+    def bytes(self) -> bytes:
+        """The encoded receipt."""
+        packer = Packer().u64(value=self.running_us)
+        packer.u64(value=self.acknowledged.term).u64(value=self.acknowledged.number)
+        return packer.u64(value=self.acknowledged_ago_us).bytes()
+
+
+def read_proxy_receipt(*, data: bytes) -> ProxyReceipt:
+    """Decodes a receipt. Raises ValueError if it is malformed."""
+    unpacker = Unpacker(data=data)
+    receipt = ProxyReceipt(
+        running_us=unpacker.u64(),
+        acknowledged=Position(unpacker.u64(), unpacker.u64()),
+        acknowledged_ago_us=unpacker.u64(),
+    )
+    unpacker.done()
+    return receipt
--- a/src/cinderstair/failover/promotion.py
+++ b/src/cinderstair/failover/promotion.py
@@ -12,6 +12,7 @@
 from .service_failover_context import ServiceFailoverContext
 from .service_primary import PrimaryState, ServicePrimary
 from .successor import primary_or_most_advanced
+from .successor_check import SuccessorCheck
 
 PRIMARY_POLL_US = 80_000
 # Interval between requests of a promotion that the platform did not accept, in microseconds.
@@ -24,8 +25,13 @@
 
 @dataclass(kw_only=True)
 class _Attempt:
-    """`requested_us`: last request of the promotion. `reached_us`: last time at which the backend was reached."""
+    """Times of one promotion, by the local clock in microseconds.
 
+    `began_us`: when it might be requested first. `requested_us`: its last request. `reached_us`: when the backend was
+    reached last.
+    """
+
+    began_us: int
     requested_us: int
     reached_us: int
     accepted: bool = False
@@ -34,8 +40,8 @@
 class Promotion:
     """Takes an assignment from moving to settled.
 
-    Invariant: an assignment is settled only after its backend reports itself primary and every view in which another
-    backend was the primary has expired.
+    Invariant: a promotion is requested only after `SuccessorCheck` has written the fence. An assignment is settled
+    only after its backend reports itself primary and every view in which another backend was the primary has expired.
     """
 
     def __init__(
@@ -43,22 +49,29 @@
         *,
         failover: ServiceFailoverContext,
         fencing: ReplicaFencing,
+        successor_check: SuccessorCheck,
         promoter: Promoter,
         fence_number: Callable[[], int],
     ) -> None:
         self.failover = failover
         self.fencing = fencing
+        self.successor_check = successor_check
         self.promoter = promoter
         self.fence_number = fence_number
 
     async def finish(self, *, service: Service, assignment: ServicePrimary) -> None:
         """Promotes the assigned backend and settles the assignment.
 
-        Returns early if the lease is lost or another successor is assigned.
+        Returns early if the lease is lost, another successor is assigned, or its fence can't be determined yet.
         """
         failover, assignments = self.failover, self.failover.assignments
         since_us = assignments.since_us[service.name]
-        state = await self._wait_until_primary(service=service, assignment=assignment, since_us=since_us)
+        if assignment.fence_pending:
+            checked = await self.successor_check.complete(service=service, assignment=assignment)
+            if checked is None:
+                return
+            assignment = checked
+        state = await self._wait_until_primary(service=service, assignment=assignment)
         if state is None:
             return
         await assignments.wait_for_older_views(service=service.name)
@@ -68,12 +81,10 @@
             failover.blocking.report(name=service.name, reason="")
             failover.record_promotion(took_us=failover.ctx.now_us() - since_us)
 
-    async def _wait_until_primary(
-        self, *, service: Service, assignment: ServicePrimary, since_us: int
-    ) -> BackendState | None:
+    async def _wait_until_primary(self, *, service: Service, assignment: ServicePrimary) -> BackendState | None:
         """The backend's state once it is primary; None if the lease is lost or another backend is assigned."""
         ctx = self.failover.ctx
-        attempt = _Attempt(requested_us=-PROMOTE_RETRY_US, reached_us=ctx.now_us())
+        attempt = _Attempt(began_us=ctx.now_us(), requested_us=-PROMOTE_RETRY_US, reached_us=ctx.now_us())
         while True:
             if not self.failover.assignments.lease.held:
                 return None
@@ -85,7 +96,7 @@
                 return state
             deregistered = member is not None and member.state == GONE
             unreachable = ctx.now_us() - attempt.reached_us > UNREACHABLE_US
-            if deregistered or unreachable or ctx.now_us() - since_us > PROMOTION_TIMEOUT_US:
+            if deregistered or unreachable or ctx.now_us() - attempt.began_us > PROMOTION_TIMEOUT_US:
                 break
             await ctx.sleep(duration_us=PRIMARY_POLL_US)
         await self._assign_another(service=service, assignment=assignment)
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -1,5 +1,7 @@
 """Fences an old primary by pausing its replicas, and resumes them afterwards."""
 
+from dataclasses import dataclass
+
 from ..config.service_plan import Service
 from ..membership.announcement import Announcement
 from ..membership.heartbeat import READY
@@ -13,11 +15,25 @@
 PAUSE_WAIT_US = 500_000
 # Interval between attempts to resume replicas that do not answer, in microseconds.
 RESUME_RETRY_US = 700_000
+# Stands for the time since replicas were paused where an earlier lease holder paused them, in microseconds.
+UNKNOWN_PAUSE_US = 1 << 50
 # A new lease holder rewrites every assignment. The number of concurrent rewrites is limited so that updates of
 # views are not delayed by all of them together.
 MAX_CONCURRENT_CONFIRMATIONS = 8
 
 
+@dataclass(frozen=True, kw_only=True)
+class PausedReplicas:
+    """The replicas that have confirmed a pause, the one with the longest log, and when the first pause was requested.
+
+    `since_us` is by the local clock.
+    """
+
+    names: frozenset[str]
+    longest: Successor
+    since_us: int
+
+
 class ReplicaFencing:
     """Owns which replicas are paused or may be, by service.
 
@@ -32,6 +48,8 @@
         self.terms: dict[str, int] = {}
         # services whose replicas may be paused and whose assignment has not been rewritten since
         self.fenced: set[str] = set()
+        # the replicas paused by this lease holder for the promotion under way, by service
+        self.held: dict[str, PausedReplicas] = {}
         # replicas to resume, by service
         self.paused: dict[str, set[str]] = {}
         self.resuming: set[str] = set()
@@ -44,16 +62,18 @@
     ) -> Successor | None:
         """Pauses replicas in a new term and returns the one with the longest log; None if too few could be paused."""
         term = max(assignment.term, self.terms.get(service.name, 0)) + 1
+        began_us = self.failover.ctx.now_us()
         self.fenced.add(service.name)
-        unsettled = self.deregistrations.unsettled(service=service.name)
-        departed = [each for each in unsettled if each.name != assignment.primary]
+        departed = self._departed(service=service.name, primary=assignment.primary)
         replicas = [*others, *departed]
         needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
         states = await self._pause(replicas=replicas, term=term, needed=needed)
         paused = {name: state for name, state in states.items() if state.term_held == term}
         if len(paused) >= needed:
             best = most_advanced_paused(paused=paused, ready={each.name for each in others if each.state == READY})
-            return Successor(term=term, name=best, fence=paused[best].received)
+            successor = Successor(term=term, name=best, fence=paused[best].received)
+            self.held[service.name] = PausedReplicas(names=frozenset(paused), longest=successor, since_us=began_us)
+            return successor
         higher = [state.term_held for state in states.values() if state.term_held > term]
         # A replica that refuses may have been paused for a higher term by a lease holder that has crashed since.
         self.terms[service.name] = max([term, *higher])
@@ -65,6 +85,44 @@
         self.failover.blocking.report(name=service.name, reason=reason)
         return None
 
+    async def fence_again(self, *, service: Service, assignment: ServicePrimary) -> Successor | None:
+        """Pauses the replicas known now, for an assignment that is moving, and returns the one with the longest log.
+
+        Replicas that started since the first fence are among them. One that was paused then and does not answer now
+        counts as paused.
+
+        :returns: None if too few are paused.
+        """
+        replicas = self._replicas(service=service.name, successor=assignment.primary)
+        needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
+        states = await self._pause(replicas=replicas, term=assignment.term, needed=len(replicas))
+        paused = {name: state for name, state in states.items() if state.term_held >= assignment.term}
+        held = self.held.get(service.name)
+        unanswered = {each.name for each in replicas} - set(states)
+        still_paused = unanswered & (held.names if held is not None else frozenset())
+        if not paused or len(paused) + len(still_paused) < needed:
+            count = len(paused) + len(still_paused)
+            reason = f"{assignment.primary} can't be promoted: {count} of {needed} required replicas are paused"
+            self.failover.blocking.report(name=service.name, reason=reason)
+            return None
+        term = max(assignment.term, *(state.term_held for state in paused.values()))
+        best = most_advanced_paused(paused=paused, ready={each.name for each in replicas if each.state == READY})
+        return Successor(term=term, name=best, fence=paused[best].received)
+
+    def _replicas(self, *, service: str, successor: str) -> list[Announcement]:
+        """The backends that may confirm commits of the replaced primary, those that deregistered included."""
+        members = self.failover.members.of_service(service=service)
+        listed = [each for each in members if not each.is_primary or each.name == successor]
+        return [*listed, *self._departed(service=service, primary="")]
+
+    def _departed(self, *, service: str, primary: str) -> list[Announcement]:
+        return [each for each in self.deregistrations.unsettled(service=service) if each.name != primary]
+
+    def paused_for_us(self, *, service: str) -> int:
+        """Time since this lease holder began to pause the service's replicas; `UNKNOWN_PAUSE_US` if it did not."""
+        held = self.held.get(service)
+        return UNKNOWN_PAUSE_US if held is None else self.failover.ctx.now_us() - held.since_us
+
     async def _pause(self, *, replicas: list[Announcement], term: int, needed: int) -> dict[str, BackendState]:
         control = self.failover.control
         return await self.failover.poller.gather(
@@ -77,10 +135,12 @@
     def assume_all_fenced(self) -> None:
         """Marks every service for confirmation, since the previous lease holder may have left replicas paused."""
         self.fenced = set(self.failover.assignments.primaries)
+        self.held.clear()
 
     def release(self, *, service: str, primary: str) -> None:
         """Marks all members but `primary` to be resumed, after its assignment was written."""
         self.fenced.discard(service)
+        self.held.pop(service, None)
         members = self.failover.members.of_service(service=service)
         self.paused[service] = {each.name for each in members} - {primary}
 
--- a/src/cinderstair/failover/service_assignments.py
+++ b/src/cinderstair/failover/service_assignments.py
@@ -32,6 +32,8 @@
         self.since_us: dict[str, int] = {}
         # since when no new view allows clients at the primary, by service
         self.unsettled_since_us: dict[str, int] = {}
+        # since when no new view lets proxies acknowledge a commit at the old primary, by service
+        self.moving_since_us: dict[str, int] = {}
         view.changes.subscribe(self._changed)
 
     def _changed(self, key: str) -> None:
@@ -42,8 +44,12 @@
         assignment, before = read_service_primary(data=found.value), self.primaries.get(service)
         # The first assignment that is not settled starts the expiry of views that allow clients at the primary. A
         # skipped revision may have been a settled one, under which such views were issued again.
-        if before is None or before.state == PrimaryState.settled or assignment.revision > before.revision + 1:
+        skipped = before is None or assignment.revision > before.revision + 1
+        if skipped or (before is not None and before.state == PrimaryState.settled):
             self.unsettled_since_us[service] = self.ctx.now_us()
+        # While an assignment is closing, open transactions may still commit.
+        if skipped or (before is not None and before.state != PrimaryState.moving):
+            self.moving_since_us[service] = self.ctx.now_us()
         self.primaries[service] = assignment
         self.since_us[service] = self.ctx.now_us()
 
@@ -79,6 +85,13 @@
 
     async def wait_for_older_views(self, *, service: str) -> None:
         """Waits until every proxy's view from before the primary stopped serving has expired."""
-        wait_us = self.unsettled_since_us[service] + self.view_expiry_us - self.ctx.now_us()
+        await self._wait_for_expiry(since_us=self.unsettled_since_us[service])
+
+    async def wait_for_views_before_move(self, *, service: str) -> None:
+        """Waits until every proxy's view that allows commits at the old primary has expired."""
+        await self._wait_for_expiry(since_us=self.moving_since_us[service])
+
+    async def _wait_for_expiry(self, *, since_us: int) -> None:
+        wait_us = since_us + self.view_expiry_us - self.ctx.now_us()
         if wait_us > 0:
             await self.ctx.sleep(duration_us=wait_us)
--- a/src/cinderstair/failover/service_failover.py
+++ b/src/cinderstair/failover/service_failover.py
@@ -2,10 +2,12 @@
 
 This module decides which step a service needs. The steps are implemented in `primary_monitor` (whether and why the
 primary must be replaced), `switchover` (a reachable primary steps down), `replica_fencing` (the replicas of an
-unreachable primary are paused), `successor` (choice of the next primary) and `promotion` (promotes the successor and
-waits until it serves).
+unreachable primary are paused), `successor` (choice of the next primary), `successor_check` (the successor has every
+acknowledged commit) and `promotion` (promotes the successor and waits until it serves).
 """
 
+from collections.abc import Awaitable, Callable
+
 from expression import Ok, Result
 
 from ..config.service_plan import PLAN_KEY, Service, ServicePlan, read_service_plan
@@ -17,6 +19,8 @@
 from ..membership.heartbeat_table import HeartbeatTable
 from ..runtime.context import Context
 from ..runtime.errors import CinderstairError
+from ..runtime.position import START
+from .acknowledged_commits import NotifyProxies
 from .backend_control import BackendControl, Promoter
 from .backend_poller import BackendPoller
 from .blocking_reasons import BlockingReasons
@@ -32,6 +36,7 @@
 from .service_primary import PrimaryState, ServicePrimary
 from .singleton_role import CONTROL_DAEMONS, SingletonRoleMixin
 from .successor import Successor, successor_at_same_address
+from .successor_check import SuccessorCheck
 from .switchover import Switchover
 
 TIMER_PERIOD_US = 100_000
@@ -59,9 +64,13 @@
         control: BackendControl,
         promoter: Promoter,
         reachability_poll: ReachabilityPoll,
+        notify_proxies: NotifyProxies,
+        refresh_heartbeats: Callable[[], Awaitable[None]],
         lease_us: int,
     ) -> None:
-        """:param lease_us: how long a proxy's view of the register stays current, in microseconds."""
+        """:param notify_proxies, refresh_heartbeats: see `ServiceFailoverContext`.
+        :param lease_us: how long a proxy's view of the register stays current, in microseconds.
+        """
         self.ctx = ctx
         self.register = register
         self.view = view
@@ -83,6 +92,8 @@
             control=control,
             poller=BackendPoller(ctx=ctx, control=control),
             blocking=BlockingReasons(ctx=ctx),
+            notify_proxies=notify_proxies,
+            refresh_heartbeats=refresh_heartbeats,
         )
         self._build_steps(heartbeat_table=heartbeat_table, promoter=promoter, reachability_poll=reachability_poll)
         self.open_queue()
@@ -113,7 +124,11 @@
         self.fencing = ReplicaFencing(failover=failover, deregistrations=self.deregistrations)
         self.switchover = Switchover(failover=failover, monitor=self.monitor)
         self.promotion = Promotion(
-            failover=failover, fencing=self.fencing, promoter=promoter, fence_number=lambda: self.fence_number
+            failover=failover,
+            fencing=self.fencing,
+            successor_check=SuccessorCheck(failover=failover, fencing=self.fencing),
+            promoter=promoter,
+            fence_number=lambda: self.fence_number,
         )
 
     @property
@@ -280,7 +295,7 @@
             term=successor.term,
             primary=successor.name,
             state=PrimaryState.moving,
-            fence=successor.fence,
+            fence=successor.fence if successor.old_primary_stopped else START,
             # Stopping the old primary may already have taken longer than the whole expected promotion.
             ready_in_us=max(0, expected_us - (self.ctx.now_us() - began_us)),
             planned=assignment.planned,
--- a/src/cinderstair/failover/service_failover_context.py
+++ b/src/cinderstair/failover/service_failover_context.py
@@ -1,8 +1,10 @@
 """State shared by the steps of service failover."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from ..runtime.context import Context
+from .acknowledged_commits import NotifyProxies
 from .backend_control import BackendControl
 from .backend_poller import BackendPoller
 from .blocking_reasons import BlockingReasons
@@ -19,6 +21,8 @@
 class ServiceFailoverContext:
     """Collaborators of the failover steps, the promotion estimate, and the retry times of services.
 
+    :param notify_proxies: see `NotifyProxies`.
+    :param refresh_heartbeats: pulls the newest heartbeats from all other controllers.
     :param promotion_us: moving average of the duration of promotions; sent to clients as an estimate.
     :param retry_at_us: by service, the earliest time of the next step after a failed one.
     """
@@ -29,6 +33,8 @@
     control: BackendControl
     poller: BackendPoller
     blocking: BlockingReasons
+    notify_proxies: NotifyProxies
+    refresh_heartbeats: Callable[[], Awaitable[None]]
     promotion_us: int = INITIAL_PROMOTION_US
     retry_at_us: dict[str, int] = field(default_factory=dict)
 
--- a/src/cinderstair/failover/service_primary.py
+++ b/src/cinderstair/failover/service_primary.py
@@ -35,7 +35,8 @@
 
     :param term: increases with each new primary.
     :param primary: the name of the backend.
-    :param fence: while moving, a log position at or after every acknowledged commit; the new primary has it.
+    :param fence: while moving, a log position at or after every acknowledged commit; the new primary has it. START
+        until it is known, that is while a proxy may still acknowledge commits of the old primary.
     :param ready_in_us: estimated time from this assignment until the primary serves, in microseconds.
     :param planned: whether the old primary was asked to step down.
     :param revision: increases with each change, which distinguishes assignments that are equal otherwise.
@@ -49,6 +50,11 @@
     planned: bool = False
     revision: int = 0
 
+    @property
+    def fence_pending(self) -> bool:
+        """Whether a new primary is chosen, but the fence is not known yet."""
+        return self.state == PrimaryState.moving and self.fence == START
+
     def bytes(self) -> bytes:
         """The encoded assignment, as stored in the register."""
         packer = Packer().u64(value=self.term).text(value=self.primary).u8(value=self.state)
--- a/src/cinderstair/failover/successor.py
+++ b/src/cinderstair/failover/successor.py
@@ -15,11 +15,16 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Successor:
-    """The next primary, `name`, and its `term`. No commit after `fence` was acknowledged in a lower term."""
+    """The next primary, `name`, its `term`, and `fence`, the end of its log.
+
+    :param old_primary_stopped: whether the old primary has stepped down or exited, so that no commit after `fence`
+        was or will be acknowledged. Otherwise a replica that is not known yet may confirm further ones.
+    """
 
     term: int
     name: str
     fence: Position
+    old_primary_stopped: bool = False
 
 
 def most_advanced_paused(*, paused: dict[str, BackendState], ready: set[str]) -> str:
@@ -49,5 +54,5 @@
     candidates = [each for each in others if each.address == old.address and each.is_primary and each.state == READY]
     for name, state in (await poller.states(members=candidates)).items():
         if state.is_primary and state.term >= assignment.term:
-            return Successor(term=state.term, name=name, fence=state.received)
+            return Successor(term=state.term, name=name, fence=state.received, old_primary_stopped=True)
     return None
--- a/src/cinderstair/failover/switchover.py
+++ b/src/cinderstair/failover/switchover.py
@@ -118,6 +118,7 @@
 def _successor(*, term: int, primary: str, fence: Position, caught_up: dict[str, BackendState]) -> Successor:
     """The replica with the longest log; the old primary if none caught up, since its log has every commit."""
     if not caught_up:
-        return Successor(term=term, name=primary, fence=fence)
+        return Successor(term=term, name=primary, fence=fence, old_primary_stopped=True)
     best = most_advanced(states=caught_up)
-    return Successor(term=term, name=best, fence=max(fence, caught_up[best].received))
+    position = max(fence, caught_up[best].received)
+    return Successor(term=term, name=best, fence=position, old_primary_stopped=True)
--- /dev/null
+++ b/src/cinderstair/pooler/assignment_receiver.py
@@ -0,0 +1,44 @@
+"""Receives primary assignments that a controller sends without being asked."""
+
+from ..failover.assignment_notice import ProxyReceipt, read_assignment_notice
+from ..failover.service_primary import PREFIX
+from ..runtime.context import Context
+from ..runtime.dispatcher import Dispatcher
+from ..runtime.message_types import MessageType
+from ..runtime.unpacker import Unpacker
+from .commit_acknowledgement import CommitAcknowledgement
+from .relayed_view import RelayedView
+
+
+class AssignmentReceiver:
+    """Applies assignments to the view, and answers what this proxy has acknowledged until then.
+
+    Invariant: once a notice is answered, this proxy acknowledges nothing that the assignment does not allow.
+    """
+
+    def __init__(
+        self,
+        *,
+        ctx: Context,
+        dispatcher: Dispatcher,
+        view: RelayedView,
+        commit_acknowledgement: CommitAcknowledgement,
+    ) -> None:
+        self.ctx = ctx
+        self.view = view
+        self.commit_acknowledgement = commit_acknowledgement
+        self.began_us = ctx.now_us()
+        dispatcher.add_handler(message_type=MessageType.APPLY_ASSIGNMENT, handler=self._on_notice)
+
+    async def _on_notice(self, unpacker: Unpacker) -> bytes:
+        value = read_assignment_notice(unpacker=unpacker).value
+        if not value.key.startswith(PREFIX):
+            raise ValueError(f"{value.key} is not the key of an assignment")
+        self.view.take_pushed(entry=value)
+        now_us = self.ctx.now_us()
+        acknowledged = self.commit_acknowledgement.acknowledged(service=value.key.removeprefix(PREFIX))
+        return ProxyReceipt(
+            running_us=now_us - self.began_us,
+            acknowledged=acknowledged.position,
+            acknowledged_ago_us=now_us - acknowledged.last_us,
+        ).bytes()
--- a/src/cinderstair/pooler/commit_acknowledgement.py
+++ b/src/cinderstair/pooler/commit_acknowledgement.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class AcknowledgedCommits:
+class LastAcknowledged:
     """An upper bound of the acknowledged log positions, and when the last one was, by this proxy's clock."""
 
     position: Position
@@ -37,8 +37,9 @@
     def __init__(self, *, ctx: Context, view: RelayedView) -> None:
         self.ctx = ctx
         self.view = view
+        self.began_us = ctx.now_us()
         self.fences: dict[str, Fence] = {}
-        self.acknowledged: dict[str, AcknowledgedCommits] = {}
+        self.last: dict[str, LastAcknowledged] = {}
         view.changes.subscribe(self._changed)
 
     def _changed(self, key: str) -> None:
@@ -46,26 +47,26 @@
             return
         service = key.removeprefix(PREFIX)
         assignment = self.view.primaries.get(service)
-        if assignment is not None and assignment.state == PrimaryState.moving:
+        if assignment is not None and assignment.state == PrimaryState.moving and not assignment.fence_pending:
             self.fences[service] = Fence(term=assignment.term, position=assignment.fence)
 
     async def allowed(self, *, service: str, backend: str, position: Position | None, until_us: int) -> bool:
         """Whether a commit that a backend has confirmed may be acknowledged, in which case it is recorded.
 
-        Waits for the view to become current, at most until `until_us` by this proxy's clock.
+        Waits for the view to become current and for the fence of a promotion under way, at most until `until_us` by
+        this proxy's clock.
 
         :param position: the log position that the backend reported with its answer, at or after the commit.
         """
-        while self._made_by_primary(service=service, backend=backend, position=position):
-            if self.view.current:
+        while True:
+            by_primary = self._made_by_primary(service=service, backend=backend, position=position)
+            if (by_primary and self.view.current) or self._fence_covers(service=service, position=position):
                 self._record(service=service, position=position)
                 return True
-            if self.ctx.now_us() >= until_us:
+            undecided = by_primary or self._fence_pending(service=service)
+            if not undecided or self.ctx.now_us() >= until_us:
                 break
             await self.view.next_answer(until_us=until_us)
-        if self._fence_covers(service=service, position=position):
-            self._record(service=service, position=position)
-            return True
         self.ctx.counters.add(name="commits.unconfirmed")
         return False
 
@@ -82,19 +83,19 @@
         # A backend that is primary again may still confirm a commit of its earlier term.
         return position is None or position.term >= assignment.term
 
+    def _fence_pending(self, *, service: str) -> bool:
+        assignment = self.view.primaries.get(service)
+        return assignment is not None and assignment.fence_pending
+
     def _fence_covers(self, *, service: str, position: Position | None) -> bool:
         """Whether the backend promoted last has the log up to this position."""
         fence = self.fences.get(service)
         return fence is not None and position is not None and position <= fence.position
 
     def _record(self, *, service: str, position: Position | None) -> None:
-        known = self.acknowledged.get(service)
-        highest = max(START if known is None else known.position, position or START)
-        self.acknowledged[service] = AcknowledgedCommits(position=highest, last_us=self.ctx.now_us())
-
-    def acknowledged_within(self, *, service: str, duration_us: int) -> Position:
-        """A bound of the positions acknowledged; START if none was within the last `duration_us`."""
-        known = self.acknowledged.get(service)
-        if known is None or self.ctx.now_us() - known.last_us > duration_us:
-            return START
-        return known.position
+        highest = max(self.acknowledged(service=service).position, position or START)
+        self.last[service] = LastAcknowledged(position=highest, last_us=self.ctx.now_us())
+
+    def acknowledged(self, *, service: str) -> LastAcknowledged:
+        """What was acknowledged of a service; START at the start of this proxy if nothing was."""
+        return self.last.get(service) or LastAcknowledged(position=START, last_us=self.began_us)
--- a/src/cinderstair/pooler/proxy.py
+++ b/src/cinderstair/pooler/proxy.py
@@ -9,6 +9,7 @@
 from ..runtime.dispatcher import Dispatcher
 from ..runtime.errors import CinderstairError
 from .address_announcer import AddressAnnouncer
+from .assignment_receiver import AssignmentReceiver
 from .forward_server import ForwardServer
 from .forwarder import Forwarder
 from .link import Dialer
@@ -59,6 +60,12 @@
         self.forwarder = Forwarder(ctx=ctx)
         self.dispatcher = Dispatcher(ctx=ctx)
         self.forward_server = ForwardServer(ctx=ctx, router=self.router, dispatcher=self.dispatcher)
+        self.assignment_receiver = AssignmentReceiver(
+            ctx=ctx,
+            dispatcher=self.dispatcher,
+            view=self.view,
+            commit_acknowledgement=self.router.commit_acknowledgement,
+        )
         if records:
             self.router.forwarder = self.router.detours.forwarder = self.forwarder
         self.draining = False
--- a/src/cinderstair/pooler/relayed_view.py
+++ b/src/cinderstair/pooler/relayed_view.py
@@ -8,7 +8,7 @@
 
 from ..failover.service_primary import PrimaryState
 from ..failover.shard_state import ShardPhase, Vote
-from ..membership.relay_record import RelayAnswer, RelayQuestion, read_relay_answer
+from ..membership.relay_record import RelayAnswer, RelayedValue, RelayQuestion, read_relay_answer
 from ..runtime.context import Context
 from ..runtime.errors import CinderstairError, ErrorCode
 from ..runtime.message_types import MessageType
@@ -137,6 +137,14 @@
         moving = any(assignment.state != PrimaryState.settled for assignment in self.primaries.values())
         return moving or self.shards.phase != ShardPhase.steady
 
+    def take_pushed(self, *, entry: RelayedValue) -> None:
+        """Applies a value that a controller sent without being asked; it does not make the view any newer.
+
+        :raises ValueError: the value can't be decoded.
+        """
+        self._take_value(entry=entry)
+        self._wake()
+
     # -- the choice of a controller --
 
     def _addresses_by_preference(self) -> list[str]:
--- a/src/cinderstair/runtime/message_types.py
+++ b/src/cinderstair/runtime/message_types.py
@@ -56,6 +56,10 @@
     SHARDS_PROGRESS = 61
     ANNOUNCE = 62
 
+    # Failover: a new primary assignment, sent to controllers, which relay it, and to proxies.
+    RELAY_ASSIGNMENT = 63
+    APPLY_ASSIGNMENT = 64
+
     @property
     def counter_name(self) -> str:
         """The name of this message type in counters and tools, for example ``join_request``."""
@@ -99,6 +103,8 @@
         MessageType.SHARDS_ABANDON,
         MessageType.SHARDS_PROGRESS,
         MessageType.ANNOUNCE,
+        MessageType.RELAY_ASSIGNMENT,
+        MessageType.APPLY_ASSIGNMENT,
     }
 )
 
--- /dev/null
+++ b/src/cinderstair/simulation/platformsim/confirming_replica_trials.py
@@ -0,0 +1,64 @@
+"""Trials in which replicas begin to confirm commits of a primary while it is being replaced."""
+
+from .failover_trials import RECOVERY_MS, await_failover
+from .platform_world import PlatformWorld
+from .stand_in_backend import StandInBackend
+
+# How long after the first pause the fault may strike: until after the promotion has taken effect.
+MAX_DELAY_MS = 900
+
+
+def _await_pause(*, world: PlatformWorld) -> None:
+    world.await_that(
+        test=lambda: any(each.paused for each in world.replicas()),
+        within_ms=RECOVERY_MS,
+        description="a replica is paused",
+        step_ms=5,
+    )
+
+
+def _partition_primary(*, world: PlatformWorld) -> StandInBackend:
+    """Partitions a primary from all controllers, while proxies and replicas reach it."""
+    world.advance(for_ms=world.rng.randrange(1_000, 2_000))
+    old = world.primary()
+    world.partition(ones=[old.name], others=world.controllers)
+    return old
+
+
+def _end(*, world: PlatformWorld, old: StandInBackend) -> None:
+    await_failover(world=world, old=old.name)
+    world.advance(for_ms=3_000)
+    world.heal()
+    world.advance(for_ms=3_000)
+    world.await_that(test=world.serves, within_ms=RECOVERY_MS, description="every proxy serves")
+
+
+def replica_joins_during_failover(world: PlatformWorld) -> None:
+    """A replica starts after the others were paused; it confirms commits before a controller can pause it."""
+    old = _partition_primary(world=world)
+    _await_pause(world=world)
+    world.advance(for_ms=world.rng.randrange(MAX_DELAY_MS))
+    world.add_replica()
+    _end(world=world, old=old)
+
+
+def replica_joins_before_failover(world: PlatformWorld) -> None:
+    """A replica starts shortly before the failover, which may not know it yet; the others don't replicate."""
+    old = _partition_primary(world=world)
+    for replica in world.replicas():
+        replica.replication_interrupted = True
+    world.advance(for_ms=world.rng.randrange(1_200))
+    world.add_replica()
+    _end(world=world, old=old)
+
+
+def paused_replica_restarts(world: PlatformWorld) -> None:
+    """A paused replica crashes and restarts, which ends its pause."""
+    old = _partition_primary(world=world)
+    _await_pause(world=world)
+    world.advance(for_ms=world.rng.randrange(200))
+    paused = [each for each in world.replicas() if each.paused]
+    if paused:
+        restart_us = world.rng.choice((50_000, 300_000))
+        world.crash(backend=world.rng.choice(paused), restart_us=restart_us)
+    _end(world=world, old=old)
--- a/src/cinderstair/simulation/platformsim/platform_trials.py
+++ b/src/cinderstair/simulation/platformsim/platform_trials.py
@@ -6,6 +6,7 @@
 from ...pooler.link_limits import CONTROL_LINKS
 from . import (
     config_trials,
+    confirming_replica_trials,
     control_fault_mix,
     control_trials,
     controller_loss_trials,
@@ -79,6 +80,9 @@
         Trial(failover_trials.platform_unavailable, (*FAILOVER, "REFUSED")),
         Trial(failover_trials.far_regions, region_us=75_000),
         Trial(failover_trials.candidate_crash, (*FAILOVER, "REFUSED")),
+        Trial(confirming_replica_trials.replica_joins_during_failover, FAILOVER, clients=18, think_us=90_000),
+        Trial(confirming_replica_trials.replica_joins_before_failover, FAILOVER, clients=18, think_us=90_000),
+        Trial(confirming_replica_trials.paused_replica_restarts, FAILOVER, clients=18, think_us=90_000),
         Trial(machine_trials.controller_killed),
         Trial(machine_trials.heartbeats_lost),
         Trial(machine_trials.controller_wiped),
