Notices of an assignment are bounded, sent once, and only for assignments

Cause: a successor that has to wait for an unknown replica was announced to all proxies again every 0.25 s, and a zone's loss would have one controller send each of its lost primaries' successors to every proxy at once. Change: what the proxies answered is kept for the assignment's revision, since nothing more can be acknowledged under it. At most 4,000 notices are unanswered; beyond that successors wait for the views' expiry, as where a proxy is silent. Controllers take notices of assignments alone. The lease holder that paused the replicas knows the old primary by name, so that a replica that still calls itself primary in its last heartbeat is paused with the others. Tests: one scenario in failover/service_failover.feature, one example in control_plane/proxy_notifier.feature.

--- a/features/control_plane/proxy_notifier.feature
+++ b/features/control_plane/proxy_notifier.feature
@@ -26,6 +26,7 @@
       | c2 does not answer notices                                 |
       | the register does not list the address of p2               |
       | p2 restarted 500 ms ago, and the replicas were paused before |
+      | 4000 notices of other services are unanswered              |
 
   Scenario: A proxy whose view has expired is not waited for
     Given p2 has asked no controller for 1200 ms, and no longer answers
--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -429,6 +429,20 @@
       | do not answer | the lease holder                     |
       | do not answer | another controller                   |
 
+  Scenario: While a replica that confirmed commits is unknown nothing is promoted, and proxies are notified once
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" is unreachable to the controllers
+    And "a" is suspected
+    And the replicas are paused
+    And replica "d" starts, and its heartbeats reach the lease holder only after 2500 ms
+    And the controllers run for 2000 ms
+    Then the promotions requested were "none"
+    And the proxies were notified 1 times
+    And "d" is primary and the assignment is settled within 4000 ms
+    And no acknowledged commit is lost
+
   Scenario Outline: A promotion waits until no proxy acts on an older view, and no longer: proxies <answer>
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
     And proxies that <answer> notices of an assignment, and acknowledge commits by their views
--- a/features/steps/cluster_stage.py
+++ b/features/steps/cluster_stage.py
@@ -154,7 +154,7 @@
         self.writing = False
         # whether all proxies answer a notice, whether they have, and whether one acknowledges a backend's commits
         self.proxies_answer = True
-        self.proxies_notified = False
+        self.proxies_notified = 0
         self.proxies_acknowledge: Callable[[str], bool] = lambda name: True
         self.acknowledged_us = 0
         self.heartbeat_listeners: list[Callable[[Announcement], None]] = []
@@ -205,8 +205,8 @@
             await asyncio.sleep(NOTICE_WAIT_US / 1_000_000)
             return None
         await asyncio.sleep(NOTICE_US / 1_000_000)
-        self.proxies_notified = True
-        return AcknowledgedCommits(position=self.acknowledged, last_ago_us=self.stage.now_us - self.acknowledged_us)
+        self.proxies_notified += 1
+        return AcknowledgedCommits(position=self.acknowledged, last_us=self.acknowledged_us)
 
     def add_replica(self, *, name: str) -> SimulatedBackend:
         """Starts a replica that has the primary's log and receives what follows; it sends no heartbeats yet."""
--- a/features/steps/proxy_notifier_steps.py
+++ b/features/steps/proxy_notifier_steps.py
@@ -171,6 +171,11 @@
     context.running_us = 600_000
 
 
+@given("{count:d} notices of other services are unanswered")
+def given_unanswered(context: Any, count: int) -> None:
+    context.parts["c1"].notifier.unanswered = count
+
+
 @given("p2 has asked no controller for {wait_ms:d} ms, and no longer answers")
 def given_silent(context: Any, wait_ms: int) -> None:
     context.net.deaf.add("p2")
@@ -204,7 +209,8 @@
 def then_acknowledged_up_to(context: Any, at: str, ago_ms: int) -> None:
     assert context.found is not None
     assert position_text(at=context.found.position) == at, context.found
-    assert ago_ms * 1_000 <= context.found.last_ago_us <= ago_ms * 1_000 + 150_000, context.found
+    ago_us = context.stage.now_us - context.found.last_us
+    assert ago_ms * 1_000 <= ago_us <= ago_ms * 1_000 + 150_000, ago_us
 
 
 @then("nothing is known of the acknowledged commits")
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -207,6 +207,11 @@
     context.stage.call(call=lambda: context.stage.loop.call_later(delay_us / 1_000_000, send))
 
 
+@then("the proxies were notified {count:d} times")
+def then_notified(context: Any, count: int) -> None:
+    assert context.cluster.proxies_notified == count, context.cluster.proxies_notified
+
+
 @then("the promotion was requested {least_ms:d} to {most_ms:d} ms after the assignment was moving")
 def then_requested_after(context: Any, least_ms: int, most_ms: int) -> None:
     moving_us = next(
--- a/src/cinderstair/control_plane/proxy_notifier.py
+++ b/src/cinderstair/control_plane/proxy_notifier.py
@@ -16,7 +16,7 @@
     read_proxy_receipt,
 )
 from ..failover.proxy_addresses import PROXY_ADDRESSES_KEY, read_proxy_addresses
-from ..failover.service_primary import service_primary_key
+from ..failover.service_primary import PREFIX, service_primary_key
 from ..membership.relay_record import RelayedValue
 from ..runtime.context import Context
 from ..runtime.dispatcher import Dispatcher
@@ -28,6 +28,9 @@
 
 # Allows for a connection that has to be made first between distant regions.
 RECEIPT_WAIT_US = 400_000
+# Notices to proxies that may be unanswered at a time. When many primaries are lost together, no more are sent, and
+# successors wait until all views have expired instead.
+MAX_UNANSWERED_NOTICES = 4_000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,10 +66,14 @@
         self.relay = relay
         self.peers = peers
         self.expiry_us = expiry_us
+        # the number of notices to proxies without an answer so far
+        self.unanswered = 0
         dispatcher.add_handler(message_type=MessageType.RELAY_ASSIGNMENT, handler=self._on_notice)
 
     async def _on_notice(self, unpacker: Unpacker) -> bytes:
         value = read_assignment_notice(unpacker=unpacker).value
+        if not value.key.startswith(PREFIX):
+            raise ValueError(f"{value.key} is not the key of an assignment")
         if not self.view.apply_read(key=value.key, found=VersionedValue(ballot=value.ballot, value=value.value)):
             raise ValueError(f"the value of {value.key} can't be applied")
         return ControllerReceipt(proxies=self._own_proxies()).bytes()
@@ -76,13 +83,16 @@
 
     async def notify(self, service: str, running_us: int) -> AcknowledgedCommits | None:
         """See `NotifyProxies`."""
+        addresses = self._addresses()
+        if self.unanswered + len(addresses) > MAX_UNANSWERED_NOTICES:
+            return None
         key = service_primary_key(service=service)
         found = self.view.known[key]
         notice = AssignmentNotice(value=RelayedValue(key=key, ballot=found.ballot, value=found.value))
         # Proxies are notified while the controllers are still asked which of them matter.
         tasks = {
             name: self.ctx.spawn(work=self._notify_proxy(address=address, notice=notice), name="notice")
-            for name, address in self._addresses().items()
+            for name, address in addresses.items()
         }
         proxies = await self._proxies_of_all(notice=notice)
         if proxies is None or not proxies <= tasks.keys():
@@ -120,7 +130,11 @@
 
     async def _notify_proxy(self, *, address: str, notice: AssignmentNotice) -> TimedReceipt | None:
         sent_us = self.ctx.now_us()
-        data = await self._request(address=address, message_type=MessageType.APPLY_ASSIGNMENT, notice=notice)
+        self.unanswered += 1
+        try:
+            data = await self._request(address=address, message_type=MessageType.APPLY_ASSIGNMENT, notice=notice)
+        finally:
+            self.unanswered -= 1
         try:
             return None if data is None else TimedReceipt(sent_us=sent_us, receipt=read_proxy_receipt(data=data))
         except ValueError:
@@ -143,4 +157,4 @@
             position = max(position, receipt.acknowledged)
             # The receipt was sent after the notice, so the acknowledgement is at most this old.
             last_us = max(last_us, now_us - receipt.acknowledged_ago_us)
-        return AcknowledgedCommits(position=position, last_ago_us=now_us - last_us)
+        return AcknowledgedCommits(position=position, last_us=last_us)
--- a/src/cinderstair/failover/acknowledged_commits.py
+++ b/src/cinderstair/failover/acknowledged_commits.py
@@ -8,13 +8,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AcknowledgedCommits:
-    """An upper bound of the acknowledged positions, and the time since the last acknowledgement in microseconds.
+    """An upper bound of the acknowledged positions, and when the last one was, by the local clock in microseconds.
 
     The bound may exceed every acknowledged commit: a backend reports the end of its log beside a commit.
     """
 
     position: Position
-    last_ago_us: int
+    last_us: int
 
 
 # Makes a service's assignment known to every proxy whose view may be current, by the service's name. Returns what the
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -26,9 +26,10 @@
 class PausedReplicas:
     """The replicas that have confirmed a pause, the one with the longest log, and when the first pause was requested.
 
-    `since_us` is by the local clock.
+    `primary` is the one that is to be replaced. `since_us` is by the local clock.
     """
 
+    primary: str
     names: frozenset[str]
     longest: Successor
     since_us: int
@@ -72,7 +73,9 @@
         if len(paused) >= needed:
             best = most_advanced_paused(paused=paused, ready={each.name for each in others if each.state == READY})
             successor = Successor(term=term, name=best, fence=paused[best].received)
-            self.held[service.name] = PausedReplicas(names=frozenset(paused), longest=successor, since_us=began_us)
+            self.held[service.name] = PausedReplicas(
+                primary=assignment.primary, names=frozenset(paused), longest=successor, since_us=began_us
+            )
             return successor
         higher = [state.term_held for state in states.values() if state.term_held > term]
         # A replica that refuses may have been paused for a higher term by a lease holder that has crashed since.
@@ -111,9 +114,18 @@
 
     def _replicas(self, *, service: str, successor: str) -> list[Announcement]:
         """The backends that may confirm commits of the replaced primary, those that deregistered included."""
+        held = self.held.get(service)
+        primary = self._announced_primary(service=service, successor=successor) if held is None else held.primary
+        members = self.failover.members.of_service(service=service)
+        listed = [each for each in members if each.name != primary]
+        return [*listed, *self._departed(service=service, primary=primary)]
+
+    def _announced_primary(self, *, service: str, successor: str) -> str:
+        """The replaced primary, where an earlier lease holder chose the successor; empty if it is not known."""
         members = self.failover.members.of_service(service=service)
-        listed = [each for each in members if not each.is_primary or each.name == successor]
-        return [*listed, *self._departed(service=service, primary="")]
+        primaries = [each.name for each in members if each.is_primary and each.name != successor]
+        # Where several call themselves primary, all are treated as replicas, which is safe.
+        return primaries[0] if len(primaries) == 1 else ""
 
     def _departed(self, *, service: str, primary: str) -> list[Announcement]:
         return [each for each in self.deregistrations.unsettled(service=service) if each.name != primary]
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -1,7 +1,7 @@
 """Makes sure before a promotion that the assigned backend has every commit that was acknowledged to a client."""
 
 import asyncio
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from ..config.service_plan import Service
 from ..runtime.position import Position
@@ -15,6 +15,14 @@
 UNKNOWN_REPLICA_WAIT_US = 3_000_000
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoppedAcknowledgements:
+    """What had been acknowledged when the assignment with `revision` was known to all proxies; None: not known."""
+
+    revision: int
+    acknowledged: AcknowledgedCommits | None
+
+
 class SuccessorCheck:
     """Waits until proxies acknowledge nothing more at an unreachable old primary, then looks at the replicas again.
 
@@ -29,6 +37,8 @@
     def __init__(self, *, failover: ServiceFailoverContext, fencing: ReplicaFencing) -> None:
         self.failover = failover
         self.fencing = fencing
+        # the last assignment without a fence that was made known to the proxies, by service
+        self.stopped: dict[str, StoppedAcknowledgements] = {}
 
     async def complete(self, *, service: Service, assignment: ServicePrimary) -> ServicePrimary | None:
         """Writes the assignment with its fence, and with another backend where that one's log is longer.
@@ -36,7 +46,7 @@
         :returns: the new assignment, whose backend may be promoted; None if a retry is due, the lease was lost or the
             assignment has changed.
         """
-        acknowledged = await self._stop_acknowledgements(service=service)
+        acknowledged = await self._stop_acknowledgements(service=service, revision=assignment.revision)
         held = self.fencing.held.get(service.name)
         if acknowledged is not None and held is not None and acknowledged.position <= held.longest.fence:
             return await self._write_fence(service=service, assignment=assignment, successor=held.longest)
@@ -68,11 +78,22 @@
             self.failover.ctx.counters.add(name="promotion.superseded")
         return self.failover.assignments.primaries[service.name]
 
-    async def _stop_acknowledgements(self, *, service: Service) -> AcknowledgedCommits | None:
-        """Returns once no proxy acts on an older assignment.
+    async def _stop_acknowledgements(self, *, service: Service, revision: int) -> AcknowledgedCommits | None:
+        """Returns once no proxy acts on an older assignment than the one with this revision.
 
         :returns: what the proxies have acknowledged; None if one did not answer, in which case its view has expired.
         """
+        stopped = self.stopped.get(service.name)
+        if stopped is None or stopped.revision != revision:
+            acknowledged = await self._notify_or_wait(service=service)
+            stopped = self.stopped[service.name] = StoppedAcknowledgements(
+                revision=revision, acknowledged=acknowledged
+            )
+        else:
+            await self.failover.refresh_heartbeats()
+        return stopped.acknowledged
+
+    async def _notify_or_wait(self, *, service: Service) -> AcknowledgedCommits | None:
         running_us = self.fencing.paused_for_us(service=service.name)
         acknowledged, _ = await asyncio.gather(
             self.failover.notify_proxies(service.name, running_us), self.failover.refresh_heartbeats()
@@ -90,6 +111,7 @@
 
         All known replicas were paused, so an acknowledgement after that is the sign of another one.
         """
-        after_pause = acknowledged.last_ago_us < self.fencing.paused_for_us(service=service.name)
+        held = self.fencing.held.get(service.name)
+        after_pause = held is not None and acknowledged.last_us > held.since_us
         waited_us = self.failover.ctx.now_us() - self.failover.assignments.moving_since_us[service.name]
         return after_pause and acknowledged.position > fence and waited_us < UNKNOWN_REPLICA_WAIT_US
