--- a/features/steps/proxy_notifier_steps.py
+++ b/features/steps/proxy_notifier_steps.py
@@ -31,15 +31,15 @@
 
 
 class DaemonNet:
-    """A network between the daemons of a scenario; `deaf` names those that get no notices."""
+    """A network between the daemons of a scenario; `unreachable` names those that receive no notices."""
 
     def __init__(self) -> None:
         self.dispatchers: dict[str, Dispatcher] = {}
-        self.deaf: set[str] = set()
+        self.unreachable: set[str] = set()
 
     async def request(self, *, address: str, body: bytes, wait_us: int) -> Result[bytes, CinderstairError]:
         lost = Error(CinderstairError(code=ErrorCode.NO_RESPONSE, reason="no answer"))
-        if address not in self.dispatchers or (address in self.deaf and body[0] in NOTICES):
+        if address not in self.dispatchers or (address in self.unreachable and body[0] in NOTICES):
             await asyncio.sleep(wait_us / 1_000_000)
             return lost
         await asyncio.sleep(ONE_WAY_S)
@@ -149,8 +149,8 @@
 
 
 @given("{name} does not answer notices")
-def given_deaf(context: Any, name: str) -> None:
-    context.net.deaf.add(name)
+def given_unreachable(context: Any, name: str) -> None:
+    context.net.unreachable.add(name)
 
 
 @given("the register does not list the address of p2")
@@ -178,7 +178,7 @@
 
 @given("p2 has asked no controller for {wait_ms:d} ms, and no longer answers")
 def given_silent(context: Any, wait_ms: int) -> None:
-    context.net.deaf.add("p2")
+    context.net.unreachable.add("p2")
     context.stage.advance(for_us=wait_ms * 1_000)
     pull(context=context, names=("p1",))
 
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -24,7 +24,7 @@
 
 
 class SuccessorCheck:
-    """Waits until proxies acknowledge nothing more at an unreachable old primary, then looks at the replicas again.
+    """Waits until no proxy acknowledges commits of an unreachable old primary, then determines the fence.
 
     Pausing replicas stops only those that are known. A replica that starts later, or that no heartbeat has made known
     yet, confirms commits of the old primary, and proxies acknowledge them until they know the new assignment or their
--- a/src/cinderstair/pooler/commit_acknowledgement.py
+++ b/src/cinderstair/pooler/commit_acknowledgement.py
@@ -1,4 +1,4 @@
-"""Decides whether a client may be told that its write was committed, from this proxy's view of the primary."""
+"""Decides by this proxy's view of the primary whether a commit may be acknowledged to its client."""
 
 from dataclasses import dataclass
 
@@ -71,7 +71,7 @@
         return False
 
     def replaced(self, *, service: str, backend: str) -> bool:
-        """Whether by the last known assignment this backend can't commit any more."""
+        """Whether the last known assignment names another backend, or a promotion is under way."""
         assignment = self.view.primaries.get(service)
         return assignment is not None and (assignment.primary != backend or assignment.state == PrimaryState.moving)
 
--- a/src/cinderstair/simulation/platformsim/confirming_replica_trials.py
+++ b/src/cinderstair/simulation/platformsim/confirming_replica_trials.py
@@ -4,7 +4,7 @@
 from .platform_world import PlatformWorld
 from .stand_in_backend import StandInBackend
 
-# How long after the first pause the fault may strike: until after the promotion has taken effect.
+# Upper bound of the time between the first pause and the fault; a promotion has taken effect by then.
 MAX_DELAY_MS = 900
 
 
