--- a/src/cinderstair/control_plane/proxy_notifier.py
+++ b/src/cinderstair/control_plane/proxy_notifier.py
@@ -28,8 +28,8 @@
 
 # Allows for a connection that has to be made first between distant regions.
 RECEIPT_WAIT_US = 400_000
-# Limit of unanswered notices to proxies. Beyond it, as when many primaries are lost together, successors wait until all
-# views have expired instead.
+# Limit of unanswered notices to proxies. Beyond it, as when many primaries are lost together, successors wait until
+# all views have expired instead.
 MAX_UNANSWERED_NOTICES = 4_000
 
 
