Where commits are missing, exited replicas are asked and a returned primary steps down

A leaving replica that no controller reached for 2 s was taken for exited, and confirmed commits until the proxies were notified. Cause: the proxies' answers showed that commits were missing, but the lease holder asked the replicas that count for fencing alone, gave up after 3 s, and took the longest log that it knew, while the old primary was reachable again. Change: where more was acknowledged after the pause than any known log holds, deregistered replicas that were taken for exited are paused and asked too. If the old primary can be reached again it steps down: its log has everything, and it is promoted again. A replica that is not known is waited for up to 10 s.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -443,6 +443,36 @@
     And "d" is primary and the assignment is settled within 4000 ms
     And no acknowledged commit is lost
 
+  Scenario: A primary that returns while a replica that confirmed commits is unknown keeps its commits
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" is unreachable to the controllers
+    And "a" is suspected
+    And the replicas are paused
+    And replica "d" starts, and its heartbeats reach the lease holder only after 60000 ms
+    And the controllers run for 1500 ms
+    And "a" is reachable to the controllers
+    Then "a" is primary and the assignment is settled within 3000 ms
+    And no acknowledged commit is lost
+    And commits are acknowledged again
+    And no controller has crashed
+
+  Scenario: A replica that was taken for exited, and confirmed commits, is found before the promotion
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And 0 of 2 other controllers reach the backend
+    And the failover lease is held and the assignment is settled
+    When "b" deregisters, and keeps serving
+    And "b" is unreachable to the controllers
+    And the controllers run for 2000 ms
+    Then the deregistration of "b" is settled: yes
+    When "b" is reachable to the controllers
+    And "a" is unreachable to the controllers
+    And "a" is suspected
+    Then "b" is primary and the assignment is settled within 6000 ms
+    And no acknowledged commit is lost
+
   Scenario Outline: A promotion waits until no proxy acts on an older view, and no longer: proxies <answer>
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
     And proxies that <answer> notices of an assignment, and acknowledge commits by their views
--- a/src/cinderstair/failover/deregistrations.py
+++ b/src/cinderstair/failover/deregistrations.py
@@ -49,6 +49,10 @@
         """The deregistered replicas whose logs may still be needed."""
         return [each for each in self.members.deregistered(service=service) if each.name not in self.settled]
 
+    def settled_replicas(self, *, service: str) -> list[Announcement]:
+        """The deregistered replicas whose logs are taken not to be needed any more."""
+        return [each for each in self.members.deregistered(service=service) if each.name in self.settled]
+
     def settle(self, *, service: str, primary: Announcement | None, replicas: list[Announcement]) -> None:
         """Tries in the background to settle a service's deregistrations, unless an attempt is in progress.
 
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -88,17 +88,22 @@
         self.failover.blocking.report(name=service.name, reason=reason)
         return None
 
-    async def fence_again(self, *, service: Service, assignment: ServicePrimary) -> Successor | None:
+    async def fence_again(
+        self, *, service: Service, assignment: ServicePrimary, include_settled: bool
+    ) -> Successor | None:
         """Pauses the replicas known now, for an assignment that is moving, and returns the one with the longest log.
 
         Replicas that started since the first fence are among them. One that was paused then and does not answer now
         counts as paused.
 
+        :param include_settled: whether deregistered replicas that were taken for exited are asked too.
         :returns: None if too few are paused.
         """
         replicas = self._replicas(service=service.name, successor=assignment.primary)
         needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
-        states = await self._pause(replicas=replicas, term=assignment.term, needed=len(replicas))
+        settled = self.deregistrations.settled_replicas(service=service.name) if include_settled else []
+        asked = [*replicas, *settled]
+        states = await self._pause(replicas=asked, term=assignment.term, needed=len(asked))
         paused = {name: state for name, state in states.items() if state.term_held >= assignment.term}
         held = self.held.get(service.name)
         unanswered = {each.name for each in replicas} - set(states)
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -6,13 +6,14 @@
 from ..config.service_plan import Service
 from ..runtime.position import Position
 from .acknowledged_commits import AcknowledgedCommits
-from .replica_fencing import ReplicaFencing
+from .replica_fencing import PAUSE_WAIT_US, ReplicaFencing
 from .service_failover_context import ServiceFailoverContext
 from .service_primary import ServicePrimary
 from .successor import Successor
 
-# How long a replica that confirmed a commit may take to send its first heartbeat, in microseconds.
-UNKNOWN_REPLICA_WAIT_US = 3_000_000
+# How long a replica that has confirmed commits is waited for, in microseconds. Its first heartbeat may come seconds
+# late, and what looks like an acknowledged commit may be the end of a log that no replica has received.
+UNKNOWN_REPLICA_WAIT_US = 10_000_000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -50,22 +51,55 @@
         held = self.fencing.held.get(service.name)
         if acknowledged is not None and held is not None and acknowledged.position <= held.longest.fence:
             return await self._write_fence(service=service, assignment=assignment, successor=held.longest)
-        fenced = await self.fencing.fence_again(service=service, assignment=assignment)
-        if fenced is None:
+        successor = await self._longest_log(service=service, assignment=assignment, acknowledged=acknowledged)
+        if successor is None:
+            successor = await self._returned_primary(service=service, assignment=assignment)
+        if successor is None:
             self.failover.retry_later(service=service.name)
             return None
-        if held is not None and held.longest.fence > fenced.fence:
-            # The backend with the longest log was paused and does not answer now.
-            fenced = held.longest
-        if acknowledged is not None and self._replica_unknown(
-            service=service, acknowledged=acknowledged, fence=fenced.fence
+        return await self._write_fence(service=service, assignment=assignment, successor=successor)
+
+    async def _longest_log(
+        self, *, service: Service, assignment: ServicePrimary, acknowledged: AcknowledgedCommits | None
+    ) -> Successor | None:
+        """The replica with the longest log of those known now; None if it may lack acknowledged commits."""
+        longest = await self._fence_again(service=service, assignment=assignment, include_settled=False)
+        if longest is not None and self._replica_unknown(
+            service=service, acknowledged=acknowledged, fence=longest.fence
         ):
-            end = f"{fenced.fence.term}.{fenced.fence.number}"
-            reason = f"commits after {end} were acknowledged, and no known replica has them"
-            self.failover.blocking.report(name=service.name, reason=reason)
-            self.failover.retry_later(service=service.name)
+            # Most replicas that were taken for exited have exited, so they are asked only where others lack commits.
+            longest = await self._fence_again(service=service, assignment=assignment, include_settled=True)
+        if longest is None:
+            return None
+        if not self._replica_unknown(service=service, acknowledged=acknowledged, fence=longest.fence):
+            return longest
+        end = f"{longest.fence.term}.{longest.fence.number}"
+        reason = f"commits after {end} were acknowledged, and no known replica has them"
+        self.failover.blocking.report(name=service.name, reason=reason)
+        return None
+
+    async def _fence_again(
+        self, *, service: Service, assignment: ServicePrimary, include_settled: bool
+    ) -> Successor | None:
+        """See `ReplicaFencing.fence_again`; where a replica that was paused first had a longer log, that replica."""
+        fenced = await self.fencing.fence_again(
+            service=service, assignment=assignment, include_settled=include_settled
+        )
+        held = self.fencing.held.get(service.name)
+        if fenced is not None and held is not None and held.longest.fence > fenced.fence:
+            return held.longest
+        return fenced
+
+    async def _returned_primary(self, *, service: Service, assignment: ServicePrimary) -> Successor | None:
+        """The replaced primary, if it is reachable again and has stepped down: its log has every commit."""
+        held = self.fencing.held.get(service.name)
+        old = None if held is None else self.failover.members.latest(name=held.primary)
+        if old is None:
+            return None
+        stepped = await self.failover.control.step_down(backend=old, term=assignment.term, wait_us=PAUSE_WAIT_US)
+        if stepped.is_error() or stepped.ok.is_primary:
             return None
-        return await self._write_fence(service=service, assignment=assignment, successor=fenced)
+        return Successor(term=assignment.term, name=old.name, fence=stepped.ok.received, old_primary_stopped=True)
 
     async def _write_fence(
         self, *, service: Service, assignment: ServicePrimary, successor: Successor
@@ -106,12 +140,16 @@
         await self.failover.refresh_heartbeats()
         return None
 
-    def _replica_unknown(self, *, service: Service, acknowledged: AcknowledgedCommits, fence: Position) -> bool:
+    def _replica_unknown(
+        self, *, service: Service, acknowledged: AcknowledgedCommits | None, fence: Position
+    ) -> bool:
         """Whether commits were acknowledged that only a replica without any heartbeat so far can have confirmed.
 
         All known replicas were paused, so an acknowledgement after that is the sign of another one.
         """
         held = self.fencing.held.get(service.name)
-        after_pause = held is not None and acknowledged.last_us > held.since_us
+        if acknowledged is None or held is None:
+            return False
+        after_pause = acknowledged.last_us > held.since_us
         waited_us = self.failover.ctx.now_us() - self.failover.assignments.moving_since_us[service.name]
         return after_pause and acknowledged.position > fence and waited_us < UNKNOWN_REPLICA_WAIT_US
