Only counted replicas make up a fence's quorum, also where exited ones are asked

Cause: a deregistered replica that was taken for exited, and is asked because commits are missing, counted towards the number of replicas that must be paused. What was acknowledged is held against the known logs also after the lease holder has lost and regained its lease.

--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -106,10 +106,9 @@
         states = await self._pause(replicas=asked, term=assignment.term, needed=len(asked))
         paused = {name: state for name, state in states.items() if state.term_held >= assignment.term}
         held = self.held.get(service.name)
-        unanswered = {each.name for each in replicas} - set(states)
-        still_paused = unanswered & (held.names if held is not None else frozenset())
-        if not paused or len(paused) + len(still_paused) < needed:
-            count = len(paused) + len(still_paused)
+        paused_before = frozenset() if held is None else held.names - states.keys()
+        count = len({each.name for each in replicas} & (paused.keys() | paused_before))
+        if not paused or count < needed:
             reason = f"{assignment.primary} can't be promoted: {count} of {needed} required replicas are paused"
             self.failover.blocking.report(name=service.name, reason=reason)
             return None
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -147,9 +147,9 @@
 
         All known replicas were paused, so an acknowledgement after that is the sign of another one.
         """
-        held = self.fencing.held.get(service.name)
-        if acknowledged is None or held is None:
+        if acknowledged is None:
             return False
-        after_pause = acknowledged.last_us > held.since_us
+        held = self.fencing.held.get(service.name)
+        after_pause = held is None or acknowledged.last_us > held.since_us
         waited_us = self.failover.ctx.now_us() - self.failover.assignments.moving_since_us[service.name]
         return after_pause and acknowledged.position > fence and waited_us < UNKNOWN_REPLICA_WAIT_US
