Acknowledged commits: one piece of code for what stood twice, and no unread state

The two senders share the reading of answers, the two fences the choice of the longest log, and three conditions the property ServicePrimary.fence_known. - CommitAcknowledgement kept a term with each fence that nothing read; AssignmentReceiver kept a second start time. - RegisterView.apply_read only called _apply_newer, which is public now. The nested condition before a transaction's statement is one function that states both reasons. What starts the expiry of views is decided from one earlier state. No test is changed.

--- a/src/cinderstair/consensus/register_view.py
+++ b/src/cinderstair/consensus/register_view.py
@@ -53,7 +53,7 @@
             return False
         for keys in batches(items=self._outdated(highest=highest.ok)):
             for key, read in await gather_pairs(items=keys, call=lambda key: self.register.read(key=key)):
-                if read.is_error() or not self._apply_newer(key=key, found=read.ok):
+                if read.is_error() or not self.apply_newer(key=key, found=read.ok):
                     return False
         self.applied_vector = highest.ok
         # counted from the start of the pull: values may have been written right after it
@@ -71,13 +71,9 @@
     def apply_own_write(self, *, key: str, result: Result[VersionedValue, CinderstairError]) -> None:
         """Applies a value that this process has written, without another read; an error is ignored."""
         if result.is_ok():
-            self._apply_newer(key=key, found=result.ok)
+            self.apply_newer(key=key, found=result.ok)
 
-    def apply_read(self, *, key: str, found: VersionedValue) -> bool:
-        """Applies a value that another process has read or written; False if this version can't decode it."""
-        return self._apply_newer(key=key, found=found)
-
-    def _apply_newer(self, *, key: str, found: VersionedValue) -> bool:
+    def apply_newer(self, *, key: str, found: VersionedValue) -> bool:
         """Applies a value if its ballot is higher; False if this version can't decode it."""
         known = self.known.get(key)
         if known is not None and known.ballot >= found.ballot:
--- a/src/cinderstair/control_plane/controller.py
+++ b/src/cinderstair/control_plane/controller.py
@@ -12,6 +12,7 @@
 from ..failover.shard_map_coordinator import Handover, ShardMapCoordinator
 from ..failover.shard_state import ShardState
 from ..failover.shard_votes import ProxyVote
+from ..failover.view_expiry import view_expiry_us
 from ..membership.announcement import Announcement, read_announcement
 from ..membership.heartbeat_table import HeartbeatTable
 from ..membership.membership import Membership
@@ -136,7 +137,7 @@
             view=self.view,
             relay=self.relay,
             peers=self.addresses.relaying_peers,
-            expiry_us=self.proxy_lease_us + self.proxy_lease_us // 10,
+            expiry_us=view_expiry_us(lease_us=self.proxy_lease_us),
         )
         self.service_failover = ServiceFailover(
             ctx=self.ctx,
--- a/src/cinderstair/control_plane/proxy_notifier.py
+++ b/src/cinderstair/control_plane/proxy_notifier.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from ..consensus.register_view import RegisterView
 from ..consensus.versioned_value import VersionedValue
@@ -16,7 +17,7 @@
     read_proxy_receipt,
 )
 from ..failover.proxy_addresses import PROXY_ADDRESSES_KEY, read_proxy_addresses
-from ..failover.service_primary import PREFIX, service_primary_key
+from ..failover.service_primary import service_primary_key
 from ..membership.relay_record import RelayedValue
 from ..runtime.context import Context
 from ..runtime.dispatcher import Dispatcher
@@ -32,6 +33,8 @@
 # all views have expired instead.
 MAX_UNANSWERED_NOTICES = 4_000
 
+R = TypeVar("R")
+
 
 @dataclass(frozen=True, kw_only=True)
 class TimedReceipt:
@@ -72,9 +75,7 @@
 
     async def _on_notice(self, unpacker: Unpacker) -> bytes:
         value = read_assignment_notice(unpacker=unpacker).value
-        if not value.key.startswith(PREFIX):
-            raise ValueError(f"{value.key} is not the key of an assignment")
-        if not self.view.apply_read(key=value.key, found=VersionedValue(ballot=value.ballot, value=value.value)):
+        if not self.view.apply_newer(key=value.key, found=VersionedValue(ballot=value.ballot, value=value.value)):
             raise ValueError(f"the value of {value.key} can't be applied")
         return ControllerReceipt(proxies=self._own_proxies()).bytes()
 
@@ -121,31 +122,41 @@
         return proxies
 
     async def _notify_controller(self, *, address: str, notice: AssignmentNotice) -> ControllerReceipt | None:
-        data = await self._request(address=address, message_type=MessageType.RELAY_ASSIGNMENT, notice=notice)
-        try:
-            return None if data is None else read_controller_receipt(data=data)
-        except ValueError:
-            self.ctx.counters.add(name="records.malformed")
-            return None
+        return await self._request(
+            address=address,
+            message_type=MessageType.RELAY_ASSIGNMENT,
+            notice=notice,
+            read=lambda data: read_controller_receipt(data=data),
+        )
 
     async def _notify_proxy(self, *, address: str, notice: AssignmentNotice) -> TimedReceipt | None:
         sent_us = self.ctx.now_us()
         self.unanswered += 1
         try:
-            data = await self._request(address=address, message_type=MessageType.APPLY_ASSIGNMENT, notice=notice)
+            receipt = await self._request(
+                address=address,
+                message_type=MessageType.APPLY_ASSIGNMENT,
+                notice=notice,
+                read=lambda data: read_proxy_receipt(data=data),
+            )
         finally:
             self.unanswered -= 1
+        return None if receipt is None else TimedReceipt(sent_us=sent_us, receipt=receipt)
+
+    async def _request(
+        self, *, address: str, message_type: MessageType, notice: AssignmentNotice, read: Callable[[bytes], R]
+    ) -> R | None:
+        """Sends a notice; None without an answer, or if `read` raises ValueError since it is malformed."""
+        body = notice.write(packer=Packer().u8(value=message_type)).bytes()
+        result = await self.ctx.peer_client.request(address=address, body=body, wait_us=RECEIPT_WAIT_US)
+        if result.is_error():
+            return None
         try:
-            return None if data is None else TimedReceipt(sent_us=sent_us, receipt=read_proxy_receipt(data=data))
+            return read(result.ok)
         except ValueError:
             self.ctx.counters.add(name="records.malformed")
             return None
 
-    async def _request(self, *, address: str, message_type: MessageType, notice: AssignmentNotice) -> bytes | None:
-        body = notice.write(packer=Packer().u8(value=message_type)).bytes()
-        result = await self.ctx.peer_client.request(address=address, body=body, wait_us=RECEIPT_WAIT_US)
-        return result.ok if result.is_ok() else None
-
     def _combined(self, *, receipts: list[TimedReceipt | None], running_us: int) -> AcknowledgedCommits | None:
         """What the proxies have acknowledged; None if one did not answer, or started too recently to know."""
         now_us = self.ctx.now_us()
--- a/src/cinderstair/failover/assignment_notice.py
+++ b/src/cinderstair/failover/assignment_notice.py
@@ -6,6 +6,7 @@
 from ..runtime.packer import Packer
 from ..runtime.position import Position
 from ..runtime.unpacker import Unpacker
+from .service_primary import PREFIX
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -14,6 +15,11 @@
 
     value: RelayedValue
 
+    @property
+    def service(self) -> str:
+        """The name of the service."""
+        return self.value.key.removeprefix(PREFIX)
+
     def write(self, *, packer: Packer) -> Packer:
         """Appends the encoded notice."""
         self.value.write(packer=packer)
@@ -21,9 +27,11 @@
 
 
 def read_assignment_notice(*, unpacker: Unpacker) -> AssignmentNotice:
-    """Reads a notice. Raises ValueError if it is malformed or followed by other bytes."""
+    """Reads a notice. Raises ValueError if it is malformed, followed by other bytes, or not of an assignment."""
     notice = AssignmentNotice(value=read_relayed_value(unpacker))
     unpacker.done()
+    if not notice.value.key.startswith(PREFIX):
+        raise ValueError(f"{notice.value.key} is not the key of an assignment")
     return notice
 
 
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -71,8 +71,7 @@
         states = await self._pause(replicas=replicas, term=term, needed=needed)
         paused = {name: state for name, state in states.items() if state.term_held == term}
         if len(paused) >= needed:
-            best = most_advanced_paused(paused=paused, ready={each.name for each in others if each.state == READY})
-            successor = Successor(term=term, name=best, fence=paused[best].received)
+            successor = _longest(paused=paused, replicas=replicas, term=term)
             self.held[service.name] = PausedReplicas(
                 primary=assignment.primary, names=frozenset(paused), longest=successor, since_us=began_us
             )
@@ -113,8 +112,7 @@
             self.failover.blocking.report(name=service.name, reason=reason)
             return None
         term = max(assignment.term, *(state.term_held for state in paused.values()))
-        best = most_advanced_paused(paused=paused, ready={each.name for each in replicas if each.state == READY})
-        return Successor(term=term, name=best, fence=paused[best].received)
+        return _longest(paused=paused, replicas=replicas, term=term)
 
     def _replicas(self, *, service: str, successor: str) -> list[Announcement]:
         """The backends that may confirm commits of the replaced primary, those that deregistered included."""
@@ -206,6 +204,12 @@
         return resumed.is_ok()
 
 
+def _longest(*, paused: dict[str, BackendState], replicas: list[Announcement], term: int) -> Successor:
+    """The paused replica with the longest log, as the primary of `term`."""
+    best = most_advanced_paused(paused=paused, ready={each.name for each in replicas if each.state == READY})
+    return Successor(term=term, name=best, fence=paused[best].received)
+
+
 def _fence_quorum(*, replicas: int, confirmations: int) -> int:
     """The number of replicas to pause so that every set of `confirmations` replicas includes a paused one."""
     return max(1, replicas - confirmations + 1) if confirmations else 1
--- a/src/cinderstair/failover/service_assignments.py
+++ b/src/cinderstair/failover/service_assignments.py
@@ -8,6 +8,7 @@
 from ..runtime.context import Context
 from .compare_and_set import compare_and_set
 from .service_primary import PREFIX, PrimaryState, ServicePrimary, read_service_primary, service_primary_key
+from .view_expiry import view_expiry_us
 
 
 class ServiceAssignments:
@@ -24,9 +25,7 @@
         self.register = register
         self.view = view
         self.lease = lease
-        # This long after a write, every proxy's view from before the write has expired. A tenth is added for clock
-        # drift.
-        self.view_expiry_us = view_lease_us + view_lease_us // 10
+        self.view_expiry_us = view_expiry_us(lease_us=view_lease_us)
         self.primaries: dict[str, ServicePrimary] = {}
         # when the current assignment was first seen, by service
         self.since_us: dict[str, int] = {}
@@ -45,10 +44,11 @@
         # The first assignment that is not settled starts the expiry of views that allow clients at the primary. A
         # skipped revision may have been a settled one, under which such views were issued again.
         skipped = before is None or assignment.revision > before.revision + 1
-        if skipped or (before is not None and before.state == PrimaryState.settled):
+        state_before = PrimaryState.settled if before is None or skipped else before.state
+        if state_before == PrimaryState.settled:
             self.unsettled_since_us[service] = self.ctx.now_us()
         # While an assignment is closing, open transactions may still commit.
-        if skipped or (before is not None and before.state != PrimaryState.moving):
+        if state_before != PrimaryState.moving:
             self.moving_since_us[service] = self.ctx.now_us()
         self.primaries[service] = assignment
         self.since_us[service] = self.ctx.now_us()
--- a/src/cinderstair/failover/service_primary.py
+++ b/src/cinderstair/failover/service_primary.py
@@ -55,6 +55,11 @@
         """Whether a new primary is chosen, but the fence is not known yet."""
         return self.state == PrimaryState.moving and self.fence == START
 
+    @property
+    def fence_known(self) -> bool:
+        """Whether a new primary is chosen, and its fence is known."""
+        return self.state == PrimaryState.moving and not self.fence_pending
+
     def bytes(self) -> bytes:
         """The encoded assignment, as stored in the register."""
         packer = Packer().u64(value=self.term).text(value=self.primary).u8(value=self.state)
--- a/src/cinderstair/failover/shard_map_coordinator.py
+++ b/src/cinderstair/failover/shard_map_coordinator.py
@@ -34,6 +34,7 @@
 from .shard_transitions import abandoned, proposed
 from .shard_votes import ProxyVote, ProxyVotePoll, ShardVotes
 from .singleton_role import CONTROL_DAEMONS, SingletonRoleMixin
+from .view_expiry import view_expiry_us
 
 TIMER_PERIOD_US = 150_000
 SHARD_MAP_LEASE = "shards"
@@ -228,9 +229,8 @@
         return self._expiry_us(in_flight_us=self.state.in_flight_us)
 
     def _expiry_us(self, *, in_flight_us: int) -> int:
-        # The view's lease, a tenth of it for clock drift, the proxy's reply timeout, and writes in flight to a
-        # backend.
-        return self.lease_us + self.lease_us // 10 + CLOSING_REPLY_TIMEOUT_US + in_flight_us
+        # The expiry of views, the proxy's reply timeout, and writes in flight to a backend.
+        return view_expiry_us(lease_us=self.lease_us) + CLOSING_REPLY_TIMEOUT_US + in_flight_us
 
     def _votes(self, *, proxies: dict[str, ProxyVote]) -> ShardVotes:
         return ShardVotes(proxies=proxies, proposal=self.state.proposal, now_us=self.ctx.now_us())
--- a/src/cinderstair/pooler/assignment_receiver.py
+++ b/src/cinderstair/pooler/assignment_receiver.py
@@ -1,7 +1,6 @@
 """Receives primary assignments that a controller sends without being asked."""
 
 from ..failover.assignment_notice import ProxyReceipt, read_assignment_notice
-from ..failover.service_primary import PREFIX
 from ..runtime.context import Context
 from ..runtime.dispatcher import Dispatcher
 from ..runtime.message_types import MessageType
@@ -27,18 +26,15 @@
         self.ctx = ctx
         self.view = view
         self.commit_acknowledgement = commit_acknowledgement
-        self.began_us = ctx.now_us()
         dispatcher.add_handler(message_type=MessageType.APPLY_ASSIGNMENT, handler=self._on_notice)
 
     async def _on_notice(self, unpacker: Unpacker) -> bytes:
-        value = read_assignment_notice(unpacker=unpacker).value
-        if not value.key.startswith(PREFIX):
-            raise ValueError(f"{value.key} is not the key of an assignment")
-        self.view.take_pushed(entry=value)
+        notice = read_assignment_notice(unpacker=unpacker)
+        self.view.take_pushed(entry=notice.value)
         now_us = self.ctx.now_us()
-        acknowledged = self.commit_acknowledgement.acknowledged(service=value.key.removeprefix(PREFIX))
+        acknowledged = self.commit_acknowledgement.acknowledged(service=notice.service)
         return ProxyReceipt(
-            running_us=now_us - self.began_us,
+            running_us=now_us - self.commit_acknowledgement.began_us,
             acknowledged=acknowledged.position,
             acknowledged_ago_us=now_us - acknowledged.last_us,
         ).bytes()
--- a/src/cinderstair/pooler/commit_acknowledgement.py
+++ b/src/cinderstair/pooler/commit_acknowledgement.py
@@ -8,14 +8,6 @@
 from .relayed_view import RelayedView
 
 
-@dataclass(frozen=True, kw_only=True)
-class Fence:
-    """The end of the log with which the primary of `term` was promoted: commits of lower terms after it are lost."""
-
-    term: int
-    position: Position
-
-
 @dataclass(frozen=True, kw_only=True)
 class LastAcknowledged:
     """An upper bound of the acknowledged log positions, and when the last one was, by this proxy's clock."""
@@ -27,6 +19,8 @@
 class CommitAcknowledgement:
     """Owns, by service, the fence of the newest promotion and the bound of the acknowledged positions.
 
+    Commits after a fence that were made before the promotion are lost.
+
     A backend may confirm a commit after it was replaced, if a replica that failover does not know receives its log.
     The new primary does not have such a commit.
 
@@ -38,7 +32,7 @@
         self.ctx = ctx
         self.view = view
         self.began_us = ctx.now_us()
-        self.fences: dict[str, Fence] = {}
+        self.fences: dict[str, Position] = {}
         self.last: dict[str, LastAcknowledged] = {}
         view.changes.subscribe(self._changed)
 
@@ -47,8 +41,8 @@
             return
         service = key.removeprefix(PREFIX)
         assignment = self.view.primaries.get(service)
-        if assignment is not None and assignment.state == PrimaryState.moving and not assignment.fence_pending:
-            self.fences[service] = Fence(term=assignment.term, position=assignment.fence)
+        if assignment is not None and assignment.fence_known:
+            self.fences[service] = assignment.fence
 
     async def allowed(self, *, service: str, backend: str, position: Position | None, until_us: int) -> bool:
         """Whether a commit that a backend has confirmed may be acknowledged, in which case it is recorded.
@@ -90,7 +84,7 @@
     def _fence_covers(self, *, service: str, position: Position | None) -> bool:
         """Whether the backend promoted last has the log up to this position."""
         fence = self.fences.get(service)
-        return fence is not None and position is not None and position <= fence.position
+        return fence is not None and position is not None and position <= fence
 
     def _record(self, *, service: str, position: Position | None) -> None:
         highest = max(self.acknowledged(service=service).position, position or START)
--- a/src/cinderstair/pooler/position_sampling.py
+++ b/src/cinderstair/pooler/position_sampling.py
@@ -66,7 +66,7 @@
         """Requests the primary's position if reads need samples and no reply has given a recent one."""
         freshness = self.freshness(service=service)
         now_us = self.ctx.now_us()
-        if assignment.state == PrimaryState.moving and not assignment.fence_pending:
+        if assignment.fence_known:
             freshness.fence(as_of_us=self.view.as_of_us, position=assignment.fence)
         ahead_us = max(SAMPLE_AHEAD_US, freshness.wanted_age_us - AGE_MARGIN_US - SAMPLE_SPAN_US)
         if now_us - freshness.wanted_us > SAMPLES_WANTED_FOR_US or now_us - freshness.newest_us < ahead_us:
--- a/src/cinderstair/pooler/router.py
+++ b/src/cinderstair/pooler/router.py
@@ -49,7 +49,7 @@
         if key.startswith(PREFIX):
             service = key.removeprefix(PREFIX)
             assignment = self.view.primaries[service]
-            if assignment.state == PrimaryState.moving and not assignment.fence_pending:
+            if assignment.fence_known:
                 self.freshness(service=service).fence(as_of_us=-(1 << 60), position=assignment.fence)
             # With thousands of services, a promotion in one must not rebuild the pools of all others.
             if service in self.backends_by_service:
--- a/src/cinderstair/pooler/transaction_statements.py
+++ b/src/cinderstair/pooler/transaction_statements.py
@@ -30,11 +30,7 @@
         link, pool = begun.ok, transaction.pool
         commits = statement.verb == Verb.commit
         state_if_lost = State.idle if commits else State.failed
-        may_run = pool is not None and self._may_continue(transaction=transaction)
-        if commits and transaction.wrote and pool is not None:
-            # An unsent commit is certainly not kept, so the client can repeat the transaction at the new primary.
-            may_run = may_run and not self._replaced(pool=pool, transaction=transaction)
-        if pool is None or not link.open or not may_run:
+        if pool is None or not link.open or not self._may_run(transaction=transaction, pool=pool, commits=commits):
             self._discard(transaction=transaction)
             return refusal(kind=ErrorCode.TRANSACTION_LOST, state=state_if_lost)
         reply = await self._run_on(
@@ -54,15 +50,19 @@
         retry_after_us = int(fault.details.get("left_us", ERROR_RESPONSES[kind].retry_after_us))
         return refusal(kind=kind, state=State.failed, retry_after_us=retry_after_us)
 
-    def _may_continue(self, *, transaction: Transaction) -> bool:
-        """Whether the transaction may continue: not if its database has moved to another service since it began."""
-        return transaction.read_only or self.router.shards.may_end(
-            database=self.database, since_us=transaction.arrived_us
-        )
+    def _may_run(self, *, transaction: Transaction, pool: LinkPool, commits: bool) -> bool:
+        """Whether the transaction's next statement may be sent, which may be its commit.
 
-    def _replaced(self, *, pool: LinkPool, transaction: Transaction) -> bool:
-        """Whether the backend that began the transaction is no longer the primary of its service."""
-        return self.router.commit_acknowledgement.replaced(
+        Not if its database has moved to another service since it began, nor for the commit of changes at a backend
+        that was replaced: unsent it is certainly not kept, so the client can repeat the transaction.
+        """
+        if transaction.read_only:
+            return True
+        if not self.router.shards.may_end(database=self.database, since_us=transaction.arrived_us):
+            return False
+        if not (commits and transaction.wrote):
+            return True
+        return not self.router.commit_acknowledgement.replaced(
             service=transaction.route.service, backend=pool.backend.name
         )
 
