Failover logs who is paused, how far each log reaches, and what proxies acknowledged

Cause: of a failover the log told the reason and the result. A position prints as TERM.NUMBER. Decisions are as before.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -499,3 +499,29 @@
     Then the assignment is settled on another backend within 6000 ms
     And no acknowledged commit is lost
     And commits are acknowledged again
+
+  Scenario: A failover logs which replicas are paused, how far each is, and how far proxies have acknowledged
+    # guards against logs that can't tell whether a successor lacked acknowledged commits, and why
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And the log of the controllers is recorded
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" crashes
+    And "a" is suspected
+    Then "b" is primary and the assignment is settled within 4000 ms
+    And a log line matches "service s: a is fenced: 2 of 2 known replicas are paused \(b at 3.\d+, c at 3.\d+\); deregistered: none; settled: none; heartbeats received here for \d+ ms"
+    And a log line matches "service s: b is to be promoted with its log up to 3.\d+; proxies have acknowledged up to 3.\d+"
+    And a log line matches "service s: replicas resumed: c"
+    And the controllers counted "promotion.behind_acknowledged" 0 times
+
+  Scenario: A successor whose log may end before an acknowledged commit is logged as a warning and counted
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And the log of the controllers is recorded
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    And proxies report positions 5 beyond what was confirmed
+    When "a" crashes
+    And "a" is suspected
+    Then "b" is primary and the assignment is settled within 4000 ms
+    And a log line matches "WARNING service s: b is to be promoted with its log up to 3.\d+; proxies have acknowledged up to 3.\d+"
+    And the controllers counted "promotion.behind_acknowledged" 1 times
--- a/features/steps/cluster_stage.py
+++ b/features/steps/cluster_stage.py
@@ -157,6 +157,8 @@
         self.proxies_notified = 0
         self.proxies_acknowledge: Callable[[str], bool] = lambda name: True
         self.acknowledged_us = 0
+        # a backend reports the end of its log beside a commit, which may be this many positions later
+        self.reported_beyond = 0
         self.heartbeat_listeners: list[Callable[[Announcement], None]] = []
         stage.call(call=lambda: stage.ctx.spawn(work=self._heartbeat()))
         stage.call(call=lambda: stage.ctx.spawn(work=self._commit()))
@@ -206,7 +208,8 @@
             return None
         await asyncio.sleep(NOTICE_US / 1_000_000)
         self.proxies_notified += 1
-        return AcknowledgedCommits(position=self.acknowledged, last_us=self.acknowledged_us)
+        reported = Position(self.acknowledged.term, self.acknowledged.number + self.reported_beyond)
+        return AcknowledgedCommits(position=reported, last_us=self.acknowledged_us)
 
     def add_replica(self, *, name: str) -> SimulatedBackend:
         """Starts a replica that has the primary's log and receives what follows; it sends no heartbeats yet."""
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -1,6 +1,8 @@
 """Steps for service failover: a simulated cluster of backends, controllers and their register."""
 
 import asyncio
+import logging
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -190,6 +192,43 @@
     cluster.proxies_acknowledge = acknowledge
 
 
+class LogRecorder(logging.Handler):
+    """Keeps the lines that it gets, each with its level before it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.lines.append(f"{record.levelname} {record.getMessage()}")
+
+
+@given("the log of the controllers is recorded")
+def given_log_recorded(context: Any) -> None:
+    context.recorder = LogRecorder()
+    for controller in context.controller_stages:
+        log = controller.ctx.log
+        log.setLevel(logging.INFO)
+        log.addHandler(context.recorder)
+        context.add_cleanup(log.removeHandler, context.recorder)
+
+
+@then('a log line matches "{pattern}"')
+def then_log_line(context: Any, pattern: str) -> None:
+    assert any(re.search(pattern, line) for line in context.recorder.lines), context.recorder.lines
+
+
+@then('the controllers counted "{counter}" {count:d} times')
+def then_counted(context: Any, counter: str, count: int) -> None:
+    found = sum(each.ctx.counters.counts[counter] for each in context.controller_stages)
+    assert found == count, found
+
+
+@given("proxies report positions {beyond:d} beyond what was confirmed")
+def given_reported_beyond(context: Any, beyond: int) -> None:
+    context.cluster.reported_beyond = beyond
+
+
 @when('replica "{name}" starts, and its heartbeats reach {whom}')
 def when_replica_starts(context: Any, name: str, whom: str) -> None:
     replica = context.cluster.add_replica(name=name)
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -75,6 +75,7 @@
             self.held[service.name] = PausedReplicas(
                 primary=assignment.primary, names=frozenset(paused), longest=successor, since_us=began_us
             )
+            self._log_fence(service=service.name, primary=assignment.primary, paused=paused, known=len(replicas))
             return successor
         higher = [state.term_held for state in states.values() if state.term_held > term]
         # A replica that refuses may have been paused for a higher term by a lease holder that has crashed since.
@@ -87,6 +88,23 @@
         self.failover.blocking.report(name=service.name, reason=reason)
         return None
 
+    def _log_fence(self, *, service: str, primary: str, paused: dict[str, BackendState], known: int) -> None:
+        """Logs which replicas are paused and how far each is, out of how many that this controller knows."""
+        unsettled = self.deregistrations.unsettled(service=service)
+        settled = self.deregistrations.settled_replicas(service=service)
+        self.failover.ctx.log.info(
+            "service %s: %s is fenced: %d of %d known replicas are paused (%s); deregistered: %s; settled: %s; "
+            "heartbeats received here for %d ms",
+            service,
+            primary,
+            len(paused),
+            known,
+            ", ".join(f"{name} at {state.received}" for name, state in sorted(paused.items())),
+            ", ".join(each.name for each in unsettled) or "none",
+            ", ".join(each.name for each in settled) or "none",
+            self.failover.members.heartbeat_table.running_us // 1_000,
+        )
+
     async def fence_again(
         self, *, service: Service, assignment: ServicePrimary, include_settled: bool
     ) -> Successor | None:
@@ -188,9 +206,13 @@
             members = self.failover.members.of_service(service=service)
             members = [each for each in members if each.name in self.paused[service]]
             self.paused[service] &= {each.name for each in members}
+            resumed = []
             for member in members:
                 if await self._resume_member(member=member, term=assignment.term):
                     self.paused[service].discard(member.name)
+                    resumed.append(member.name)
+            if resumed:
+                self.failover.ctx.log.info("service %s: replicas resumed: %s", service, ", ".join(resumed))
             if self.paused[service]:
                 await self.failover.ctx.sleep(duration_us=RESUME_RETRY_US)
         finally:
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -48,16 +48,43 @@
             assignment has changed.
         """
         acknowledged = await self._stop_acknowledgements(service=service, revision=assignment.revision)
+        successor = await self._choose(service=service, assignment=assignment, acknowledged=acknowledged)
+        if successor is None:
+            self.failover.retry_later(service=service.name)
+            return None
+        self._log_choice(service=service.name, successor=successor, acknowledged=acknowledged)
+        return await self._write_fence(service=service, assignment=assignment, successor=successor)
+
+    async def _choose(
+        self, *, service: Service, assignment: ServicePrimary, acknowledged: AcknowledgedCommits | None
+    ) -> Successor | None:
+        """The backend to promote; None if no known one is sure to have every acknowledged commit."""
         held = self.fencing.held.get(service.name)
         if acknowledged is not None and held is not None and acknowledged.position <= held.longest.fence:
-            return await self._write_fence(service=service, assignment=assignment, successor=held.longest)
+            return held.longest
         successor = await self._longest_log(service=service, assignment=assignment, acknowledged=acknowledged)
         if successor is None:
             successor = await self._returned_primary(service=service, assignment=assignment)
-        if successor is None:
-            self.failover.retry_later(service=service.name)
-            return None
-        return await self._write_fence(service=service, assignment=assignment, successor=successor)
+        return successor
+
+    def _log_choice(self, *, service: str, successor: Successor, acknowledged: AcknowledgedCommits | None) -> None:
+        """Logs how far the successor's log and the acknowledged commits reach."""
+        ctx = self.failover.ctx
+        if acknowledged is None:
+            bound = "how far proxies have acknowledged is not known; all older views have expired"
+        else:
+            bound = f"proxies have acknowledged up to {acknowledged.position}"
+        behind = acknowledged is not None and acknowledged.position > successor.fence
+        log = ctx.log.warning if behind else ctx.log.info
+        log(
+            "service %s: %s is to be promoted with its log up to %s; %s",
+            service,
+            successor.name,
+            successor.fence,
+            bound,
+        )
+        if behind:
+            ctx.counters.add(name="promotion.behind_acknowledged")
 
     async def _longest_log(
         self, *, service: Service, assignment: ServicePrimary, acknowledged: AcknowledgedCommits | None
@@ -73,8 +100,7 @@
             return None
         if not self._replica_unknown(service=service, acknowledged=acknowledged, fence=longest.fence):
             return longest
-        end = f"{longest.fence.term}.{longest.fence.number}"
-        reason = f"commits after {end} were acknowledged, and no known replica has them"
+        reason = f"commits after {longest.fence} were acknowledged, and no known replica has them"
         self.failover.blocking.report(name=service.name, reason=reason)
         return None
 
--- a/src/cinderstair/membership/heartbeat_table.py
+++ b/src/cinderstair/membership/heartbeat_table.py
@@ -111,7 +111,7 @@
         self.received: dict[tuple[int, str], ReceivedHeartbeat[B]] = {}
         self.newest: dict[str, ReceivedHeartbeat[B]] = {}
         self.pulled_at_us = 0
-        self.ticked_at_us = ctx.now_us()
+        self.started_at_us = self.ticked_at_us = ctx.now_us()
         self.suspended_from_us = 0
         self.suspended_until_us = 0
         self.has_peers = False
@@ -179,6 +179,11 @@
         received = self.newest.get(name)
         return NEVER_US if received is None else self.ctx.now_us() - received.observed_at_us
 
+    @property
+    def running_us(self) -> int:
+        """How long this table has received heartbeats; those of the time before are not in it."""
+        return self.ctx.now_us() - self.started_at_us
+
     @property
     def connected(self) -> bool:
         """Whether a peer has answered a pull within CONNECTED_US, or there are no peers."""
--- a/src/cinderstair/runtime/position.py
+++ b/src/cinderstair/runtime/position.py
@@ -13,6 +13,10 @@
     term: int
     number: int
 
+    def __str__(self) -> str:
+        """The position as in log lines, for example ``3.1207``."""
+        return f"{self.term}.{self.number}"
+
 
 START = Position(0, 0)
 """The position before the first commit."""
