Red: a fence after all controllers restarted counts only the replicas heard since

The fence counts the replicas that the lease holder has heard of since it started, so a replica that is late, down or has deregistered is left out, and one that lacks commits is promoted.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -525,3 +525,39 @@
     Then "b" is primary and the assignment is settled within 4000 ms
     And a log line matches "WARNING service s: b is to be promoted with its log up to 3.\d+; proxies have acknowledged up to 3.\d+"
     And the controllers counted "promotion.behind_acknowledged" 1 times
+
+  Scenario Outline: After all controllers have restarted a replica that <state> counts for the fence
+    # guards against a successor that lacks acknowledged commits, since the fence counts only replicas heard since then
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And "b" is 40 positions behind
+    And the failover lease is held and the assignment is settled
+    When "c" <state>
+    And all controllers are restarted
+    And the controllers run for 3000 ms
+    And "a" crashes
+    And "a" is suspected
+    Then "c" is primary and the assignment is settled within 4000 ms
+    And no acknowledged commit is lost
+    And no controller has crashed
+
+    Examples:
+      | state                          |
+      | sends no more heartbeats       |
+      | deregisters, and keeps serving |
+
+  Scenario: After all controllers have restarted nothing is promoted while a replica that is down may have commits
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And "b" is 40 positions behind
+    And the failover lease is held and the assignment is settled
+    When "c" crashes
+    And all controllers are restarted
+    And the controllers run for 3000 ms
+    And "a" crashes
+    And "a" is suspected
+    And the controllers run for 3000 ms
+    Then the promotions requested were "none"
+    When "c" is restarted
+    Then "c" is primary and the assignment is settled within 4000 ms
+    And no acknowledged commit is lost
--- a/features/simulation/platformsim/platformsim.feature
+++ b/features/simulation/platformsim/platformsim.feature
@@ -40,6 +40,12 @@
       | replica_joins_before_failover | 93    | 4    |
       | paused_replica_restarts       | 93    | 6    |
 
+    Examples: all controllers restart, and have not heard of the replica with the newest commits when the primary crashes
+      | trial                             | share | last |
+      | controllers_killed_replica_silent | 90    | 3    |
+      | controllers_killed_replica_down   | 90    | 3    |
+      | controllers_killed_replica_leaves | 90    | 3    |
+
     Examples: controllers or proxies fail during a failover
       | trial                                 | share | last |
       | lease_holder_killed                   | 90    | 2    |
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from behave import given, then, when
-from cluster_stage import VIEW_EXPIRY_US, Cluster, new_controller, new_stage, put
+from cluster_stage import VIEW_EXPIRY_US, Cluster, ControllerStage, new_controller, new_stage, put
 from expression import Error
 from stage import announcement, plan
 
@@ -412,6 +412,20 @@
         context.stage.call(call=lambda backend=backend: context.cluster.send_heartbeat(backend=backend))
 
 
+@when("all controllers are restarted")
+def when_controllers_restart(context: Any) -> None:
+    """Kills all controllers, and starts as many that have received no heartbeat."""
+    killed = list(context.controller_stages)
+    for controller in killed:
+        controller.kill()
+    context.cluster.heartbeat_listeners.clear()
+    context.controller_stages.clear()
+    for number in range(len(killed)):
+        restarted = ControllerStage(context=context, name=f"restarted-{number + 1}", number=100 + number)
+        context.controller_stages.append(restarted)
+        restarted.start_failover(cluster=context.cluster)
+
+
 @when('another holder has written "{name}" as primary of term {term:d}')
 def when_written(context: Any, name: str, term: int) -> None:
     assignment = ServicePrimary(term=term, primary=name, state=PrimaryState.settled)
--- /dev/null
+++ b/src/cinderstair/simulation/platformsim/forgotten_replica_trials.py
@@ -0,0 +1,74 @@
+"""Trials in which controllers restart and have not heard of the replica with the newest commits in a failover."""
+
+from .failover_trials import RECOVERY_MS, await_failover
+from .platform_world import PlatformWorld
+from .stand_in_backend import StandInBackend
+
+# By then the next lease holder has confirmed the assignments.
+LEASE_MS = 3_000
+
+
+def _only_complete_replica(*, world: PlatformWorld) -> StandInBackend:
+    """Stops replication to all replicas but one, and returns that one."""
+    world.advance(for_ms=world.rng.randrange(800, 1_600))
+    complete, *others = world.rng.sample(world.replicas(), len(world.replicas()))
+    for other in others:
+        other.replication_interrupted = True
+    world.advance(for_ms=500)
+    return complete
+
+
+def _kill_controllers(*, world: PlatformWorld) -> None:
+    """Kills all controllers at once, and waits until one of the next ones decides on primaries."""
+    for name in list(world.controllers):
+        world.kill(name=name)
+    world.advance(for_ms=LEASE_MS + world.rng.randrange(1_000))
+
+
+def _crash_primary(*, world: PlatformWorld) -> StandInBackend:
+    old = world.primary()
+    world.crash(backend=old, restart_us=None)
+    world.advance(for_ms=world.rng.randrange(1_500, 3_000))
+    return old
+
+
+def _end(*, world: PlatformWorld, old: StandInBackend) -> None:
+    await_failover(world=world, old=old.name)
+    for replica in world.replicas():
+        replica.replication_interrupted = False
+    world.advance(for_ms=3_000)
+    world.await_that(test=world.serves, within_ms=RECOVERY_MS, description="every proxy serves")
+
+
+def controllers_killed_replica_silent(world: PlatformWorld) -> None:
+    """The heartbeats of the complete replica are late from the controllers' restart until the primary has crashed."""
+    complete = _only_complete_replica(world=world)
+    world.senders[complete.name].silent = True
+    _kill_controllers(world=world)
+    old = _crash_primary(world=world)
+    world.senders[complete.name].silent = False
+    _end(world=world, old=old)
+
+
+def controllers_killed_replica_down(world: PlatformWorld) -> None:
+    """The complete replica is down from the controllers' restart until the primary has crashed."""
+    complete = _only_complete_replica(world=world)
+    world.crash(backend=complete, restart_us=None)
+    _kill_controllers(world=world)
+    old = _crash_primary(world=world)
+    world.start_backend(backend=complete)
+    _end(world=world, old=old)
+
+
+def controllers_killed_replica_leaves(world: PlatformWorld) -> None:
+    """The complete replica has deregistered before the controllers' restart, and serves on."""
+    complete = _only_complete_replica(world=world)
+    world.release(backend=complete, deregister_first=True)
+    world.await_that(
+        test=lambda: complete.name in world.oracle.drain.acked_us,
+        within_ms=RECOVERY_MS,
+        description="the deregistration is acknowledged",
+    )
+    _kill_controllers(world=world)
+    old = _crash_primary(world=world)
+    _end(world=world, old=old)
