Soak: the platform's programs as real processes under random faults, judged by the simulator's checkers

The world of the simulated platform takes another network and other processes: the same stand-ins, clients, checkers and trials run on loopback in real time; partitions hold up bytes between backends and processes. Faults come singly, in series and overlapping.

--- a/src/cinderstair/simulation/__main__.py
+++ b/src/cinderstair/simulation/__main__.py
@@ -1,4 +1,4 @@
-"""Runs a stand-in backend, a stand-in platform, or a whole fleet of processes on loopback."""
+"""Runs a stand-in backend, a stand-in platform, a whole fleet of processes on loopback, or a soak of the platform."""
 
 import argparse
 import asyncio
@@ -11,6 +11,7 @@
 from ..runtime.context import Context
 from .fleet import Fleet
 from .fleet_day import FleetDay
+from .soak import soak_run
 from .stand_in import StandIn
 from .stand_in_platform import StandInPlatform
 
@@ -93,8 +94,12 @@
         "--failures", action="store_true", help="inject failures one after another while the clients run"
     )
     three.add_argument("--seed", type=int, default=1, help="seed of the injected failures")
+    soak_parser = roles.add_parser("soak", help="the platform's programs as real processes under random faults")
+    soak_run.add_options(parser=soak_parser)
     options = parser.parse_args()
     logging.basicConfig(level="WARNING", stream=sys.stderr)
+    if options.role == "soak":
+        return soak_run.run(options=options)
     if options.role == "fleet":
         return asyncio.run(fleet(options=options))
     asyncio.run((backend if options.role == "backend" else platform)(options=options))
