A fence counts every replica on record, also those not heard since the controllers started

Cause: who may have confirmed commits was known from heartbeats in memory alone. After a restart of all controllers the next lease holder counted the replicas that it had heard so far; one of one is soon paused. A replica that was late, down or leaving was left out, however many commits it alone had. Change: the lease holder keeps the names and addresses of each service's backends in the register (replicas/SERVICE). A fence asks and counts all of them. A backend leaves the record when it has exited and another replica has all that the primary has, or after 25 s without heartbeat and answer; one that is silent for longer counts if it answers. Replicas that are not heard are resumed like others, and promoted by their recorded address. Proxies don't get the records. Why this works: the record survives all controllers, so the number required does not depend on who was heard since. Tests: three steps filtered the register's writes by '/' in the key; they name the assignments' prefix now, the same writes as before. 'can't be fenced' scenarios for liveness: exited, unreachable for long, serving on for long.

--- a/features/control_plane/relay.feature
+++ b/features/control_plane/relay.feature
@@ -14,6 +14,13 @@
     Then a proxy that asks gets changes: the values "slots=s2", the backends "b!", the controllers "none"
     And a proxy that asks gets changes: the values "none", the backends "none", the controllers "none"
 
+  Scenario: The records of replicas, which only controllers use, are not relayed
+    Given the register holds "slots" as "s1"
+    And the register holds "replicas/s" as "r1"
+    Then a proxy that asks gets the full state: the values "slots=s1", the backends "none", the controllers "10.0.0.1:1"
+    When the register holds "replicas/s" as "r2"
+    Then a proxy that asks gets changes: the values "none", the backends "none", the controllers "none"
+
   Scenario: A heartbeat with an unchanged state is not relayed
     Given the backends "a, b" send heartbeats
     Then a proxy that asks gets the full state: the values "none", the backends "a b", the controllers "10.0.0.1:1"
--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -509,7 +509,7 @@
     When "a" crashes
     And "a" is suspected
     Then "b" is primary and the assignment is settled within 4000 ms
-    And a log line matches "service s: a is fenced: 2 of 2 known replicas are paused \(b at 3.\d+, c at 3.\d+\); deregistered: none; settled: none; heartbeats received here for \d+ ms"
+    And a log line matches "service s: a is fenced: 2 of 2 known replicas are paused \(b at 3.\d+, c at 3.\d+\); deregistered: none; not heard: none; settled: none; heartbeats received here for \d+ ms"
     And a log line matches "service s: b is to be promoted with its log up to 3.\d+; proxies have acknowledged up to 3.\d+"
     And a log line matches "service s: replicas resumed: c"
     And the controllers counted "promotion.behind_acknowledged" 0 times
@@ -530,15 +530,17 @@
     # guards against a successor that lacks acknowledged commits, since the fence counts only replicas heard since then
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
     And proxies that answer notices of an assignment, and acknowledge commits by their views
-    And "b" is 40 positions behind
     And the failover lease is held and the assignment is settled
-    When "c" <state>
+    When "b" receives nothing any more
+    And the controllers run for 100 ms
+    And "c" <state>
     And all controllers are restarted
     And the controllers run for 3000 ms
     And "a" crashes
     And "a" is suspected
-    Then "c" is primary and the assignment is settled within 4000 ms
-    And no acknowledged commit is lost
+    And the controllers run for 3000 ms
+    Then no acknowledged commit is lost
+    And "c" is primary and the assignment is settled within 1000 ms
     And no controller has crashed
 
     Examples:
@@ -549,15 +551,70 @@
   Scenario: After all controllers have restarted nothing is promoted while a replica that is down may have commits
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
     And proxies that answer notices of an assignment, and acknowledge commits by their views
-    And "b" is 40 positions behind
     And the failover lease is held and the assignment is settled
-    When "c" crashes
+    When "b" receives nothing any more
+    And the controllers run for 100 ms
+    And "c" crashes
     And all controllers are restarted
     And the controllers run for 3000 ms
     And "a" crashes
     And "a" is suspected
     And the controllers run for 3000 ms
-    Then the promotions requested were "none"
+    Then no acknowledged commit is lost
+    And the promotions requested were "none"
     When "c" is restarted
     Then "c" is primary and the assignment is settled within 4000 ms
     And no acknowledged commit is lost
+
+  Scenario: A replica that exited while all controllers restarted does not block failover once another one has all commits
+    # guards against a service without a primary, since a replica that never returns is waited for
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And the failover lease is held and the assignment is settled
+    When "c" crashes
+    And all controllers are restarted
+    And the controllers run for 4000 ms
+    And "a" crashes
+    And "a" is suspected
+    Then "b" is primary and the assignment is settled within 4000 ms
+    And no acknowledged commit is lost
+
+  Scenario: A replica that is unreachable and has long been silent does not block failover
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And the failover lease is held and the assignment is settled
+    When "c" is unreachable to the controllers
+    And "c" sends no more heartbeats
+    And all controllers are restarted
+    And the controllers run for 26000 ms
+    And "a" crashes
+    And "a" is suspected
+    Then "b" is primary and the assignment is settled within 4000 ms
+
+  Scenario: A replica that has long sent no heartbeats, and confirms commits, counts for the fence
+    # guards against a successor that lacks commits of a replica that serves on long after its last heartbeat
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And the failover lease is held and the assignment is settled
+    When "c" deregisters, and keeps serving
+    And the controllers run for 28000 ms
+    And "b" receives nothing any more
+    And the controllers run for 500 ms
+    And "a" crashes
+    And "a" is suspected
+    And the controllers run for 3000 ms
+    Then no acknowledged commit is lost
+    And "c" is primary and the assignment is settled within 1000 ms
+
+  Scenario: A replica without heartbeats that was paused for an aborted failover is resumed
+    # guards against a replica that receives nothing for good
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And "b" can't be paused
+    And the failover lease is held and the assignment is settled
+    When "c" sends no more heartbeats
+    And all controllers are restarted
+    And the controllers run for 3000 ms
+    And "a" is unreachable to the controllers
+    And "a" is suspected
+    And the controllers run for 400 ms
+    And "a" is reachable to the controllers
+    And the controllers run for 3000 ms
+    Then each paused replica was resumed, after the assignment was confirmed by a write
+    And the promotions requested were "none"
--- a/features/steps/cluster_stage.py
+++ b/features/steps/cluster_stage.py
@@ -132,6 +132,7 @@
         self.promotable = True
         self.steps_down = True
         self.follows_us = 0
+        self.receives = True
         self.number = 0
         self.stepped_us = 0
         self.log: list[str] = []
@@ -193,6 +194,7 @@
                     and replica.up
                     and not replica.is_primary
                     and not replica.paused
+                    and replica.receives
                     and replica.held <= made.term
                 ]
                 for replica in receivers:
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -14,6 +14,7 @@
 from cinderstair.config.service_plan import PLAN_KEY
 from cinderstair.failover.reachability_votes import ReachabilityVotes
 from cinderstair.failover.service_primary import (
+    PREFIX,
     PrimaryState,
     ServicePrimary,
     read_service_primary,
@@ -150,6 +151,11 @@
     context.cluster.backends[name].paused = False
 
 
+@when('"{name}" receives nothing any more')
+def when_receives_nothing(context: Any, name: str) -> None:
+    context.cluster.backends[name].receives = False
+
+
 @when('"{name}" restarts, which ends its pause')
 def when_replica_restarts(context: Any, name: str) -> None:
     replica = context.cluster.backends[name]
@@ -180,7 +186,9 @@
 
     def acknowledge(name: str) -> bool:
         written = [
-            (at_us, read_service_primary(data=value)) for at_us, key, value in context.store.writes if "/" in key
+            (at_us, read_service_primary(data=value))
+            for at_us, key, value in context.store.writes
+            if key.startswith(PREFIX)
         ]
         assignment = written[-1][1]
         if assignment.state != PrimaryState.moving:
@@ -256,7 +264,7 @@
     moving_us = next(
         at_us
         for at_us, key, value in context.store.writes
-        if "/" in key and read_service_primary(data=value).state == PrimaryState.moving
+        if key.startswith(PREFIX) and read_service_primary(data=value).state == PrimaryState.moving
     )
     took_us = context.cluster.calls[0][0] - moving_us
     assert least_ms * 1_000 <= took_us <= most_ms * 1_000, took_us
@@ -360,7 +368,9 @@
 @then("all older views expired between the end of the old assignment and the next settled one")
 def then_older_views_expired(context: Any) -> None:
     assignments = [
-        (at_us, read_service_primary(data=value)) for at_us, key, value in context.store.writes if "/" in key
+        (at_us, read_service_primary(data=value))
+        for at_us, key, value in context.store.writes
+        if key.startswith(PREFIX)
     ]
     stopped_us = next(at_us for at_us, assignment in assignments if assignment.state != PrimaryState.settled)
     assert assignments[-1][1].state == PrimaryState.settled, assignments
--- a/src/cinderstair/control_plane/relay.py
+++ b/src/cinderstair/control_plane/relay.py
@@ -5,6 +5,7 @@
 
 from ..consensus.register_view import RegisterView
 from ..consensus.versioned_value import VersionedValue
+from ..failover.recorded_replicas import REPLICAS_PREFIX
 from ..failover.shard_state import Vote
 from ..membership.announcement import GONE, Announcement
 from ..membership.heartbeat_table import HeartbeatTable
@@ -85,6 +86,8 @@
         ctx.timer(every_us=TIMER_PERIOD_US).subscribe(lambda _: self.refresh())
 
     def _on_value_change(self, key: str) -> None:
+        if not _relayed(key=key):
+            return
         self.revision += 1
         self.value_revisions[key] = self.revision
 
@@ -150,7 +153,7 @@
             values=tuple(
                 self._relayed_value(key=key, found=found)
                 for key, found in self.view.known.items()
-                if full or self.value_revisions.get(key, 0) > since
+                if _relayed(key=key) and (full or self.value_revisions.get(key, 0) > since)
             ),
             backends=tuple(entry.backend for entry in self.backends.values() if entry.revision > since),
             controllers=self.relayed_controllers if full or self.controllers_revision > since else (),
@@ -178,6 +181,11 @@
         ]
 
 
+def _relayed(*, key: str) -> bool:
+    """Whether proxies use the register's key."""
+    return not key.startswith(REPLICAS_PREFIX)
+
+
 def same_for_proxies(one: RelayedBackend, other: RelayedBackend) -> bool:
     """Whether two entries are equal in every field that proxies use."""
     first, second = one.announcement, other.announcement
--- a/src/cinderstair/failover/deregistrations.py
+++ b/src/cinderstair/failover/deregistrations.py
@@ -1,4 +1,4 @@
-"""Tracks deregistered replicas whose logs may still hold the only replicated copy of a commit."""
+"""Tracks replicas that have left, or are not heard, and whose logs may hold the only replicated copy of a commit."""
 
 import asyncio
 
@@ -10,6 +10,7 @@
 from .backend_control import BackendControl
 from .backend_poller import PROBE_WAIT_US
 from .reachability_votes import ReachabilityPoll
+from .replica_records import ReplicaRecords, UnheardReplica
 from .service_members import ServiceMembers
 
 # Pause between attempts to settle deregistrations, in microseconds.
@@ -32,12 +33,14 @@
         ctx: Context,
         heartbeat_table: HeartbeatTable[Announcement],
         members: ServiceMembers,
+        records: ReplicaRecords,
         control: BackendControl,
         reachability_poll: ReachabilityPoll,
     ) -> None:
         self.ctx = ctx
         self.heartbeat_table = heartbeat_table
         self.members = members
+        self.records = records
         self.control = control
         self.reachability_poll = reachability_poll
         # names of backends
@@ -54,7 +57,7 @@
         return [each for each in self.members.deregistered(service=service) if each.name in self.settled]
 
     def settle(self, *, service: str, primary: Announcement | None, replicas: list[Announcement]) -> None:
-        """Tries in the background to settle a service's deregistrations, unless an attempt is in progress.
+        """Tries in the background to settle deregistrations and unheard replicas, unless an attempt is in progress.
 
         :param primary: None if it never sent a heartbeat; then nothing can be settled.
         """
@@ -62,17 +65,33 @@
         if primary is None or service in self.settling:
             return
         departed = [each for each in self.unsettled(service=service) if each.name != primary.name]
-        if departed:
+        unheard = [each for each in self.records.unheard(service=service) if each.announcement.name != primary.name]
+        if departed or unheard:
             self.settling.add(service)
-            work = self._settle(service=service, departed=departed, primary=primary, replicas=replicas)
+            work = self._settle(
+                service=service, departed=departed, unheard=unheard, primary=primary, replicas=replicas
+            )
             self.ctx.spawn(work=work, name="deregistrations.settle")
 
     async def _settle(
-        self, *, service: str, departed: list[Announcement], primary: Announcement, replicas: list[Announcement]
+        self,
+        *,
+        service: str,
+        departed: list[Announcement],
+        unheard: list[UnheardReplica],
+        primary: Announcement,
+        replicas: list[Announcement],
     ) -> None:
         try:
             ended = [each.name for each in departed if await self._has_ended(backend=each)]
-            if ended and await self._is_replicated(primary=primary, replicas=replicas):
+            ended_unheard = [
+                each.announcement.name for each in unheard if await self._has_ended(backend=each.announcement)
+            ]
+            lost = [each.announcement.name for each in unheard if each.expired and await self._is_lost(replica=each)]
+            replicated = bool(ended or ended_unheard) and await self._is_replicated(
+                primary=primary, replicas=replicas
+            )
+            if replicated and ended:
                 self.settled.update(ended)
                 self.ctx.log.info(
                     "service %s: the deregistrations of %s are settled: the processes have exited, and another "
@@ -80,11 +99,24 @@
                     service,
                     ", ".join(ended),
                 )
-            else:
+            forgotten = {*lost, *(ended_unheard if replicated else ())}
+            if forgotten and await self.records.forget(service=service, names=forgotten):
+                self.ctx.log.info(
+                    "service %s: %s no longer count for a fence: exited, and another replica has every commit that "
+                    "they confirmed, or silent and unreachable for too long",
+                    service,
+                    ", ".join(sorted(forgotten)),
+                )
+            if not replicated and not forgotten:
                 await self.ctx.sleep(duration_us=RETRY_US)
         finally:
             self.settling.discard(service)
 
+    async def _is_lost(self, *, replica: UnheardReplica) -> bool:
+        """Whether a replica that has been silent for long can't be reached either."""
+        state = await self.control.state(backend=replica.announcement, wait_us=PROBE_WAIT_US)
+        return state.is_error()
+
     async def _has_ended(self, *, backend: Announcement) -> bool:
         """Whether a deregistered backend has exited: by a probe of its address, or a unanimous vote of the others."""
         state = await self.control.state(backend=backend, wait_us=PROBE_WAIT_US)
--- a/src/cinderstair/failover/promotion.py
+++ b/src/cinderstair/failover/promotion.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import Protocol
 
 from ..config.service_plan import Service
 from ..membership.announcement import GONE, Announcement
@@ -23,6 +24,14 @@
 PROMOTION_TIMEOUT_US = 5_000_000
 
 
+class FindBackend(Protocol):
+    """Looks up a backend by its service and name; None if it is not known."""
+
+    def __call__(self, *, service: str, name: str) -> Announcement | None:
+        """See `ReplicaRecords.find`."""
+        ...
+
+
 @dataclass(kw_only=True)
 class _Attempt:
     """Times of one promotion, by the local clock in microseconds.
@@ -52,12 +61,14 @@
         successor_check: SuccessorCheck,
         promoter: Promoter,
         fence_number: Callable[[], int],
+        find_backend: FindBackend,
     ) -> None:
         self.failover = failover
         self.fencing = fencing
         self.successor_check = successor_check
         self.promoter = promoter
         self.fence_number = fence_number
+        self.find_backend = find_backend
 
     async def finish(self, *, service: Service, assignment: ServicePrimary) -> None:
         """Promotes the assigned backend and settles the assignment.
@@ -88,7 +99,7 @@
         while True:
             if not self.failover.assignments.lease.held:
                 return None
-            member = self.failover.members.latest(name=assignment.primary)
+            member = self.find_backend(service=service.name, name=assignment.primary)
             if not await self._request(service=service, assignment=assignment, attempt=attempt):
                 break
             state = await self._probe(member=member, attempt=attempt)
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -7,6 +7,7 @@
 from ..membership.heartbeat import READY
 from .backend_control import BackendState
 from .deregistrations import Deregistrations
+from .replica_records import ReplicaRecords
 from .service_failover_context import ServiceFailoverContext
 from .service_primary import ServicePrimary
 from .successor import Successor, most_advanced_paused
@@ -42,9 +43,12 @@
     commit confirmed. A replica is resumed only after the assignment was written again.
     """
 
-    def __init__(self, *, failover: ServiceFailoverContext, deregistrations: Deregistrations) -> None:
+    def __init__(
+        self, *, failover: ServiceFailoverContext, deregistrations: Deregistrations, records: ReplicaRecords
+    ) -> None:
         self.failover = failover
         self.deregistrations = deregistrations
+        self.records = records
         # the highest term of a failed fencing attempt, by service
         self.terms: dict[str, int] = {}
         # services whose replicas may be paused and whose assignment has not been rewritten since
@@ -66,10 +70,14 @@
         began_us = self.failover.ctx.now_us()
         self.fenced.add(service.name)
         departed = self._departed(service=service.name, primary=assignment.primary)
-        replicas = [*others, *departed]
-        needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
-        states = await self._pause(replicas=replicas, term=term, needed=needed)
+        expired = self._expired(service=service.name, primary=assignment.primary)
+        asked = [*others, *departed, *expired]
+        needed = _fence_quorum(replicas=len(asked), confirmations=service.confirmations)
+        states = await self._pause(replicas=asked, term=term, needed=needed)
         paused = {name: state for name, state in states.items() if state.term_held == term}
+        # One that has long been silent counts only if it answers: the failover must not wait for it.
+        replicas = [*others, *departed, *(each for each in expired if each.name in states)]
+        needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
         if len(paused) >= needed:
             successor = _longest(paused=paused, replicas=replicas, term=term)
             self.held[service.name] = PausedReplicas(
@@ -82,7 +90,7 @@
         self.terms[service.name] = max([term, *higher])
         reason = f"{assignment.primary} can't be fenced: {len(paused)} of {needed} required replicas are paused"
         if departed:
-            reason += f" ({', '.join(each.name for each in departed)} deregistered)"
+            reason += f" ({', '.join(each.name for each in departed)} deregistered or not heard)"
         if higher:
             reason += f", a replica is paused for the higher term {max(higher)}"
         self.failover.blocking.report(name=service.name, reason=reason)
@@ -91,17 +99,19 @@
     def _log_fence(self, *, service: str, primary: str, paused: dict[str, BackendState], known: int) -> None:
         """Logs which replicas are paused and how far each is, out of how many that this controller knows."""
         unsettled = self.deregistrations.unsettled(service=service)
+        unheard = self.records.unheard(service=service)
         settled = self.deregistrations.settled_replicas(service=service)
         self.failover.ctx.log.info(
-            "service %s: %s is fenced: %d of %d known replicas are paused (%s); deregistered: %s; settled: %s; "
-            "heartbeats received here for %d ms",
+            "service %s: %s is fenced: %d of %d known replicas are paused (%s); deregistered: %s; not heard: %s; "
+            "settled: %s; heartbeats received here for %d ms",
             service,
             primary,
             len(paused),
             known,
             ", ".join(f"{name} at {state.received}" for name, state in sorted(paused.items())),
-            ", ".join(each.name for each in unsettled) or "none",
-            ", ".join(each.name for each in settled) or "none",
+            _names(backends=unsettled),
+            _names(backends=[each.announcement for each in unheard if each.announcement.name != primary]),
+            _names(backends=settled),
             self.failover.members.heartbeat_table.running_us // 1_000,
         )
 
@@ -116,11 +126,16 @@
         :param include_settled: whether deregistered replicas that were taken for exited are asked too.
         :returns: None if too few are paused.
         """
-        replicas = self._replicas(service=service.name, successor=assignment.primary)
-        needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
+        primary = self._replaced_primary(service=service.name, successor=assignment.primary)
+        members = self.failover.members.of_service(service=service.name)
+        replicas = [each for each in members if each.name != primary]
+        replicas += self._departed(service=service.name, primary=primary)
+        expired = self._expired(service=service.name, primary=primary)
         settled = self.deregistrations.settled_replicas(service=service.name) if include_settled else []
-        asked = [*replicas, *settled]
+        asked = [*replicas, *settled, *expired]
         states = await self._pause(replicas=asked, term=assignment.term, needed=len(asked))
+        replicas += [each for each in expired if each.name in states]
+        needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
         paused = {name: state for name, state in states.items() if state.term_held >= assignment.term}
         held = self.held.get(service.name)
         paused_before = frozenset() if held is None else held.names - states.keys()
@@ -132,23 +147,28 @@
         term = max(assignment.term, *(state.term_held for state in paused.values()))
         return _longest(paused=paused, replicas=replicas, term=term)
 
-    def _replicas(self, *, service: str, successor: str) -> list[Announcement]:
-        """The backends that may confirm commits of the replaced primary, those that deregistered included."""
+    def _replaced_primary(self, *, service: str, successor: str) -> str:
+        """The primary that a moving assignment replaces; empty if it is not known."""
         held = self.held.get(service)
-        primary = self._announced_primary(service=service, successor=successor) if held is None else held.primary
-        members = self.failover.members.of_service(service=service)
-        listed = [each for each in members if each.name != primary]
-        return [*listed, *self._departed(service=service, primary=primary)]
-
-    def _announced_primary(self, *, service: str, successor: str) -> str:
-        """The replaced primary, where an earlier lease holder chose the successor; empty if it is not known."""
-        members = self.failover.members.of_service(service=service)
-        primaries = [each.name for each in members if each.is_primary and each.name != successor]
+        if held is not None:
+            return held.primary
+        # An earlier lease holder chose the successor.
+        unheard = [each.announcement for each in self.records.unheard(service=service)]
+        backends = [*self.failover.members.of_service(service=service), *unheard]
+        primaries = [each.name for each in backends if each.is_primary and each.name != successor]
         # Where several call themselves primary, all are treated as replicas, which is safe.
         return primaries[0] if len(primaries) == 1 else ""
 
     def _departed(self, *, service: str, primary: str) -> list[Announcement]:
-        return [each for each in self.deregistrations.unsettled(service=service) if each.name != primary]
+        """The replicas that have left or are not heard, and count for the fence whether or not they answer."""
+        unheard = [each.announcement for each in self.records.unheard(service=service) if not each.expired]
+        departed = [*self.deregistrations.unsettled(service=service), *unheard]
+        return [each for each in departed if each.name != primary]
+
+    def _expired(self, *, service: str, primary: str) -> list[Announcement]:
+        """The replicas that have been silent for long; they count for the fence if they answer."""
+        unheard = self.records.unheard(service=service)
+        return [each.announcement for each in unheard if each.expired and each.announcement.name != primary]
 
     def paused_for_us(self, *, service: str) -> int:
         """Time since this lease holder began to pause the service's replicas; `UNKNOWN_PAUSE_US` if it did not."""
@@ -170,11 +190,16 @@
         self.held.clear()
 
     def release(self, *, service: str, primary: str) -> None:
-        """Marks all members but `primary` to be resumed, after its assignment was written."""
+        """Marks all replicas that may be paused to be resumed, after the assignment of `primary` was written."""
         self.fenced.discard(service)
         self.held.pop(service, None)
-        members = self.failover.members.of_service(service=service)
-        self.paused[service] = {each.name for each in members} - {primary}
+        self.paused[service] = {each.name for each in self._pausable(service=service)} - {primary}
+
+    def _pausable(self, *, service: str) -> list[Announcement]:
+        """The backends that a fence of the service may have paused."""
+        unheard = [each.announcement for each in self.records.unheard(service=service)]
+        departed = self.deregistrations.unsettled(service=service)
+        return [*self.failover.members.of_service(service=service), *departed, *unheard]
 
     def confirmation_due(self, *, service: str) -> bool:
         """Whether the service's assignment must be confirmed now."""
@@ -203,8 +228,7 @@
     async def _resume(self, *, service: str, assignment: ServicePrimary) -> None:
         """Resumes the paused replicas that have not confirmed it yet, and demotes an old primary among them."""
         try:
-            members = self.failover.members.of_service(service=service)
-            members = [each for each in members if each.name in self.paused[service]]
+            members = [each for each in self._pausable(service=service) if each.name in self.paused[service]]
             self.paused[service] &= {each.name for each in members}
             resumed = []
             for member in members:
@@ -226,6 +250,10 @@
         return resumed.is_ok()
 
 
+def _names(*, backends: list[Announcement]) -> str:
+    return ", ".join(each.name for each in backends) or "none"
+
+
 def _longest(*, paused: dict[str, BackendState], replicas: list[Announcement], term: int) -> Successor:
     """The paused replica with the longest log, as the primary of `term`."""
     best = most_advanced_paused(paused=paused, ready={each.name for each in replicas if each.state == READY})
--- a/src/cinderstair/failover/service_failover.py
+++ b/src/cinderstair/failover/service_failover.py
@@ -30,6 +30,7 @@
 from .promotion import Promotion
 from .reachability_votes import ReachabilityPoll
 from .replica_fencing import ReplicaFencing
+from .replica_records import ReplicaRecords
 from .service_assignments import ServiceAssignments
 from .service_failover_context import ServiceFailoverContext
 from .service_members import ServiceMembers
@@ -114,14 +115,22 @@
             control=failover.control,
             reachability_poll=reachability_poll,
         )
+        self.records = ReplicaRecords(
+            ctx=failover.ctx,
+            register=self.register,
+            view=self.view,
+            lease=self.lease,
+            members=failover.members,
+        )
         self.deregistrations = Deregistrations(
             ctx=failover.ctx,
             heartbeat_table=heartbeat_table,
             members=failover.members,
+            records=self.records,
             control=failover.control,
             reachability_poll=reachability_poll,
         )
-        self.fencing = ReplicaFencing(failover=failover, deregistrations=self.deregistrations)
+        self.fencing = ReplicaFencing(failover=failover, deregistrations=self.deregistrations, records=self.records)
         self.switchover = Switchover(failover=failover, monitor=self.monitor)
         self.promotion = Promotion(
             failover=failover,
@@ -129,6 +138,7 @@
             successor_check=SuccessorCheck(failover=failover, fencing=self.fencing),
             promoter=promoter,
             fence_number=lambda: self.fence_number,
+            find_backend=self.records.find,
         )
 
     @property
@@ -207,6 +217,7 @@
             return
         if assignment.state == PrimaryState.settled:
             self._settle_deregistrations(service=name, primary=assignment.primary)
+            self.records.update(service=name, primary=assignment.primary, settled=self.deregistrations.settled)
         if assignment.state == PrimaryState.moving:
             await self.promotion.finish(service=service, assignment=assignment)
             return
--- a/src/cinderstair/failover/service_members.py
+++ b/src/cinderstair/failover/service_members.py
@@ -40,6 +40,10 @@
         received = self.heartbeat_table.latest(name=name)
         return None if received is None else received.heartbeat
 
+    def silent_us(self, *, name: str) -> int:
+        """For how long this controller has certainly had no heartbeat of a backend, in microseconds."""
+        return min(self.heartbeat_table.age_us(name=name), self.heartbeat_table.running_us)
+
     def _recently_heard(self, *, service: str) -> list[ReceivedHeartbeat[Announcement]]:
         return [
             received
