A deregistration is acknowledged once the register holds it, and outlives the memory of all controllers

Cause: a deregistration was acknowledged by the memory of a majority. Change: DELETE is acknowledged once the register's record says so too; any controller writes it, and each learns it from its view of the register, as if it had been told. A backend that no controller has heard is looked up in the record.

--- a/features/control_plane/announcer.feature
+++ b/features/control_plane/announcer.feature
@@ -69,3 +69,18 @@
   Scenario: An announcement received from another controller enters the heartbeat table
     When another controller announces that srv-1 is emptying
     Then the heartbeat table lists srv-1 as emptying
+
+  Scenario: A deregistration is acknowledged only once the register holds it
+    # guards against a departure that is forgotten when all controllers are killed
+    Given the reachable voters are v1, v2, v3
+    And this controller has a heartbeat of srv-1 as ready
+    And the register can't be written
+    When srv-1 deregisters
+    Then the announcement is not acknowledged
+
+  Scenario: The departure of a backend that is only on record is recorded with its service
+    Given the reachable voters are v1, v2, v3
+    And srv-1 is on record, and no controller has a heartbeat of it
+    When srv-1 deregisters
+    Then the announcement is acknowledged
+    And it is on record that srv-1 of service s1 has departed
--- a/features/simulation/platformsim/platformsim.feature
+++ b/features/simulation/platformsim/platformsim.feature
@@ -45,6 +45,7 @@
       | controllers_killed_replica_silent | 90    | 3    |
       | controllers_killed_replica_down   | 90    | 3    |
       | controllers_killed_replica_leaves | 90    | 3    |
+      | controllers_killed_primary_leaves | 95    | 3    |
 
     Examples: controllers or proxies fail during a failover
       | trial                                 | share | last |
--- a/features/steps/announcer_steps.py
+++ b/features/steps/announcer_steps.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from behave import given, then, when
-from cluster_stage import FakeMembership
+from cluster_stage import FakeDepartureRecord, FakeMembership
 from expression import Error, Ok, Result
 from stage import Stage
 
@@ -63,6 +63,7 @@
 
 @given("an announcer with the voters v1, v2 and v3")
 def given_announcer(context: Any) -> None:
+    context.departure_record = FakeDepartureRecord()
     context.stage = Stage(context=context, name="core-1")
     context.voters, context.roster, context.number = FakeVoters(), VOTERS, 4
     ctx = context.stage.ctx = replace(context.stage.ctx, net=context.voters)
@@ -81,6 +82,7 @@
             dispatcher=context.dispatcher,
             heartbeat_table=context.heartbeat_table,
             voters=lambda: context.roster,
+            departure_record=context.departure_record,
         )
 
     context.stage.call(call=work)
@@ -118,6 +120,22 @@
     context.acknowledged = context.stage.run(work=work())
 
 
+@given("the register can't be written")
+def given_register_unreachable(context: Any) -> None:
+    context.departure_record.reachable = False
+
+
+@given("srv-1 is on record, and no controller has a heartbeat of it")
+def given_on_record(context: Any) -> None:
+    context.departure_record.known["srv-1"] = announcement_as(state="ready", number=0)
+
+
+@then("it is on record that srv-1 of service {service} has departed")
+def then_departure_recorded(context: Any, service: str) -> None:
+    found = [(each.name, each.service, each.state) for each in context.departure_record.departed]
+    assert ("srv-1", service, GONE) in found, found
+
+
 @when("srv-1 deregisters")
 def when_deregistration(context: Any) -> None:
     context.acknowledged = context.stage.run(work=context.announcer.deregister(name="srv-1"))
--- a/features/steps/cluster_stage.py
+++ b/features/steps/cluster_stage.py
@@ -113,6 +113,23 @@
         return []
 
 
+class FakeDepartureRecord:
+    """Keeps departures, unless the register is out of reach, and knows some backends."""
+
+    def __init__(self) -> None:
+        self.reachable = True
+        self.known: dict[str, Announcement] = {}
+        self.departed: list[Announcement] = []
+
+    def recorded(self, *, name: str) -> Announcement | None:
+        return self.known.get(name)
+
+    async def record_departure(self, *, announcement: Announcement) -> bool:
+        if self.reachable:
+            self.departed.append(announcement)
+        return self.reachable
+
+
 class SimulatedBackend:
     """A backend of a service: its state, and flags that control how it answers requests."""
 
--- a/features/steps/record_format_conversations.py
+++ b/features/steps/record_format_conversations.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from cluster_stage import FakeDepartureRecord
 from expression import Ok
 from record_format_examples import announcement, roster
 from record_format_handlers import (
@@ -89,7 +90,11 @@
             peers=list,
         )
         self.announcer = Announcer(
-            ctx=ctx, dispatcher=dispatcher, heartbeat_table=self.heartbeat_table, voters=lambda: (ADDRESS,)
+            ctx=ctx,
+            dispatcher=dispatcher,
+            heartbeat_table=self.heartbeat_table,
+            voters=lambda: (ADDRESS,),
+            departure_record=FakeDepartureRecord(),
         )
         relay = Relay(
             ctx=ctx,
--- a/src/cinderstair/control_plane/announcer.py
+++ b/src/cinderstair/control_plane/announcer.py
@@ -1,7 +1,9 @@
 """Replicates the state of a leaving backend to a majority of the voters before it is acknowledged."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Protocol
 
 from ..consensus.majority import count_until_majority
 from ..membership.announcement import GONE, Announcement, read_announcement
@@ -18,11 +20,25 @@
 MAX_REPLICATED = 20_000
 
 
+class DepartureRecord(Protocol):
+    """Where deregistrations are kept so that they outlive the memory of all controllers."""
+
+    def recorded(self, *, name: str) -> Announcement | None:
+        """What is recorded of a backend; None if it is not on record."""
+        ...
+
+    async def record_departure(self, *, announcement: Announcement) -> bool:
+        """Records that a backend has deregistered; whether that is certain."""
+        ...
+
+
 class Announcer:
     """Owns the last state of each backend that a majority of the voters has acknowledged.
 
     The majority counts all voters, not only the reachable ones. Any two majorities share a voter, so each side of a
     network partition that still serves knows the state, and losing one machine loses no acknowledged state.
+
+    A deregistered backend sends nothing more, so its deregistration is recorded as well.
     """
 
     def __init__(
@@ -32,10 +48,12 @@
         dispatcher: Dispatcher,
         heartbeat_table: HeartbeatTable[Announcement],
         voters: Callable[[], tuple[str, ...]],
+        departure_record: DepartureRecord,
     ) -> None:
         self.ctx = ctx
         self.heartbeat_table = heartbeat_table
         self.voters = voters
+        self.departure_record = departure_record
         self.replicated_states: dict[str, str] = {}
         dispatcher.add_handler(message_type=MessageType.ANNOUNCE, handler=self._on_announce)
 
@@ -81,26 +99,32 @@
     async def deregister(self, *, name: str) -> bool:
         """Records a backend as gone and replicates that.
 
-        :returns: whether a majority of the voters holds it.
+        :returns: whether a majority of the voters holds it, in memory and on record.
         """
         known = await self._last_announcement(name=name)
-        if known.state == GONE:
-            return await self.replicate(announcement=known)
-        gone = replace(known, state=GONE, is_primary=False, number=known.number + 1)
-        self.heartbeat_table.receive(heartbeat=gone)
-        return await self.replicate(announcement=gone)
+        gone = known
+        if known.state != GONE:
+            gone = replace(known, state=GONE, is_primary=False, number=known.number + 1)
+            self.heartbeat_table.receive(heartbeat=gone)
+        replicated, recorded = await asyncio.gather(
+            self.replicate(announcement=gone), self.departure_record.record_departure(announcement=gone)
+        )
+        return replicated and recorded
 
     async def _last_announcement(self, *, name: str) -> Announcement:
-        """The backend's newest announcement; pulls the voters' heartbeats first if this controller has none.
+        """The backend's newest announcement; asks the voters and the record if this controller has none.
 
-        Where no voter knows the backend either, the result is an announcement with number 0 and only its name set.
+        Where the backend is not known at all, the result is an announcement with number 0 and only its name set.
         """
         received = self.heartbeat_table.latest(name=name)
         if received is None:
             # after a restart this controller has no heartbeats yet, while the others may have
             await self.heartbeat_table.refresh(peers=self.voters())
             received = self.heartbeat_table.latest(name=name)
-        if received is None:
-            # a proxy may still route to a backend that every controller has forgotten, so it is deregistered anyway
-            return Announcement(name=name, number=0, service="", address="", site="", state=READY, is_primary=False)
-        return received.heartbeat
+        if received is not None:
+            return received.heartbeat
+        recorded = self.departure_record.recorded(name=name)
+        if recorded is not None:
+            return recorded
+        # a proxy may still route to a backend that every controller has forgotten, so it is deregistered anyway
+        return Announcement(name=name, number=0, service="", address="", site="", state=READY, is_primary=False)
--- a/src/cinderstair/control_plane/controller.py
+++ b/src/cinderstair/control_plane/controller.py
@@ -189,6 +189,7 @@
             dispatcher=self.register_replica.dispatcher,
             heartbeat_table=self.heartbeat_table,
             voters=self.addresses.voters,
+            departure_record=self.service_failover.records,
         )
         self.backend_registry = BackendRegistry(
             heartbeat_table=self.heartbeat_table, announcer=announcer, view=self.view
--- a/src/cinderstair/failover/replica_records.py
+++ b/src/cinderstair/failover/replica_records.py
@@ -1,7 +1,9 @@
 """Keeps in the register which backends may confirm commits of each service."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from expression import Ok, Result
 
 from ..consensus.lease import Lease
 from ..consensus.register import Register
@@ -9,6 +11,7 @@
 from ..membership.announcement import GONE, Announcement
 from ..membership.heartbeat import EMPTYING
 from ..runtime.context import Context
+from ..runtime.errors import CinderstairError
 from .compare_and_set import compare_and_set
 from .recorded_replicas import (
     REPLICAS_PREFIX,
@@ -56,12 +59,26 @@
 
     def _changed(self, key: str) -> None:
         found = self.view.known.get(key)
-        if found is not None and found.value and key.startswith(REPLICAS_PREFIX):
-            self.records[key.removeprefix(REPLICAS_PREFIX)] = read_recorded_replicas(data=found.value)
+        if found is None or not found.value or not key.startswith(REPLICAS_PREFIX):
+            return
+        service = key.removeprefix(REPLICAS_PREFIX)
+        record = self.records[service] = read_recorded_replicas(data=found.value)
+        for entry in record.entries:
+            if entry.departed:
+                # No heartbeat of it follows, so a controller that has just started learns of it here.
+                self.members.heartbeat_table.receive(heartbeat=_announcement(service=service, entry=entry))
 
     def _entries(self, *, service: str) -> tuple[RecordedReplica, ...]:
         return self.records.get(service, RecordedReplicas()).entries
 
+    def recorded(self, *, name: str) -> Announcement | None:
+        """What is recorded of a backend of any service; None if it is not on record."""
+        for service, record in self.records.items():
+            for entry in record.entries:
+                if entry.name == name:
+                    return _announcement(service=service, entry=entry)
+        return None
+
     def find(self, *, service: str, name: str) -> Announcement | None:
         """A backend's last announcement, else what is recorded of it; None if it is not known at all."""
         heard = self.members.latest(name=name)
@@ -109,6 +126,26 @@
         )
         return RecordedReplicas(entries=tuple(entries))
 
+    async def record_departure(self, *, announcement: Announcement) -> bool:
+        """Records that a backend has deregistered; every controller may, with or without the lease.
+
+        :returns: whether that is written, or the backend's service is not known.
+        """
+        service, name = announcement.service, announcement.name
+        if not service:
+            return True
+        if any(each.name == name and each.departed for each in self._entries(service=service)):
+            return True
+
+        def decide(current: bytes) -> Result[bytes, CinderstairError]:
+            record = read_recorded_replicas(data=current) if current else RecordedReplicas()
+            return Ok(_with_departure(record=record, name=name, address=announcement.address).bytes())
+
+        key = recorded_replicas_key(service=service)
+        result = await self.register.change(key=key, decide=decide)
+        self.view.apply_own_write(key=key, result=result)
+        return result.is_ok()
+
     async def forget(self, *, service: str, names: Iterable[str]) -> bool:
         """Removes backends from the record; whether that is written."""
         dropped = frozenset(names)
@@ -137,6 +174,14 @@
         return result.is_ok()
 
 
+def _with_departure(*, record: RecordedReplicas, name: str, address: str) -> RecordedReplicas:
+    """The record with a backend as departed; it is added if it is missing."""
+    entries = {each.name: each for each in record.entries}
+    known = entries.get(name, RecordedReplica(name=name, address=address))
+    entries[name] = replace(known, departed=True)
+    return RecordedReplicas(entries=tuple(entries[each] for each in sorted(entries)))
+
+
 def _announcement(*, service: str, entry: RecordedReplica) -> Announcement:
     """What is known of a recorded backend: it is not chosen as a successor where a ready one has as much."""
     return Announcement(
--- a/src/cinderstair/simulation/platformsim/forgotten_replica_trials.py
+++ b/src/cinderstair/simulation/platformsim/forgotten_replica_trials.py
@@ -25,15 +25,20 @@
     world.advance(for_ms=LEASE_MS + world.rng.randrange(1_000))
 
 
-def _crash_primary(*, world: PlatformWorld) -> StandInBackend:
+def _crash_primary(*, world: PlatformWorld, restart_us: int | None = None) -> StandInBackend:
     old = world.primary()
-    world.crash(backend=old, restart_us=None)
+    world.crash(backend=old, restart_us=restart_us)
     world.advance(for_ms=world.rng.randrange(1_500, 3_000))
     return old
 
 
 def _end(*, world: PlatformWorld, old: StandInBackend) -> None:
-    await_failover(world=world, old=old.name)
+    """Waits until a running backend is primary: another one than before, or the one before once it has returned."""
+    world.await_that(
+        test=lambda: world.services["ledger0"].term > 1 and world.primary().up and world.serves(),
+        within_ms=RECOVERY_MS,
+        description=f"a running backend has replaced {old.name}, and every proxy serves",
+    )
     for replica in world.replicas():
         replica.replication_interrupted = False
     world.advance(for_ms=3_000)
@@ -61,7 +66,10 @@
 
 
 def controllers_killed_replica_leaves(world: PlatformWorld) -> None:
-    """The complete replica has deregistered before the controllers' restart, and serves on."""
+    """The complete replica has deregistered before the controllers' restart, and serves on.
+
+    The primary returns with its log, since the replica takes its own along.
+    """
     complete = _only_complete_replica(world=world)
     world.release(backend=complete, deregister_first=True)
     world.await_that(
@@ -70,5 +78,22 @@
         description="the deregistration is acknowledged",
     )
     _kill_controllers(world=world)
-    old = _crash_primary(world=world)
+    old = _crash_primary(world=world, restart_us=6_000_000)
     _end(world=world, old=old)
+
+
+def controllers_killed_primary_leaves(world: PlatformWorld) -> None:
+    """The primary has deregistered before the controllers' restart, and serves on longer than it may be used."""
+    world.advance(for_ms=world.rng.randrange(800, 1_600))
+    old = world.primary()
+    world.release(backend=old, deregister_first=True)
+    world.await_that(
+        test=lambda: old.name in world.oracle.drain.acked_us,
+        within_ms=RECOVERY_MS,
+        description="the deregistration is acknowledged",
+        step_ms=5,
+    )
+    for name in list(world.controllers):
+        world.kill(name=name)
+    await_failover(world=world, old=old.name)
+    world.advance(for_ms=world.oracle.drain.drain_us // 1_000 + 3_000)
--- a/src/cinderstair/simulation/platformsim/platform_trials.py
+++ b/src/cinderstair/simulation/platformsim/platform_trials.py
@@ -87,6 +87,7 @@
         Trial(forgotten_replica_trials.controllers_killed_replica_silent, FAILOVER),
         Trial(forgotten_replica_trials.controllers_killed_replica_down, FAILOVER),
         Trial(forgotten_replica_trials.controllers_killed_replica_leaves, FAILOVER),
+        Trial(forgotten_replica_trials.controllers_killed_primary_leaves, ("LOST", "DRAIN")),
         Trial(machine_trials.controller_killed),
         Trial(machine_trials.heartbeats_lost),
         Trial(machine_trials.controller_wiped),
--- a/src/cinderstair/simulation/platformsim/seeded_bugs.py
+++ b/src/cinderstair/simulation/platformsim/seeded_bugs.py
@@ -24,7 +24,7 @@
 from ...pooler.session import Session
 from ...runtime.errors import ErrorCode
 from ..sim_disk import SimDisk
-from . import forward_bugs, shard_bugs
+from . import forward_bugs, replica_record_bugs, shard_bugs
 from .repository import add_adapter_to_path
 
 Patches = list[Any]
@@ -337,6 +337,8 @@
         forward_bugs.lost_forwards_reported_unsent,
         forward_bugs.forward_values_not_replayed,
         forward_bugs.link_limits_raised_at_once,
+        replica_record_bugs.unheard_replicas_uncounted,
+        replica_record_bugs.departures_unrecorded,
         shard_bugs.old_map_writes_continue,
         shard_bugs.map_switched_without_closing,
         shard_bugs.samples_from_before_handover,
