A replica that left and was unreachable counts for a fence once it is reachable again

What callers would see: acknowledged commits missing after a promotion. Change: such replicas, and those that are on record and long silent, are paused with the others; they count if they can be reached, whatever they answer, and are not waited for otherwise. They stay on record. The second round that asked them only where commits were missing goes: they are asked at once. 'A replica that was taken for exited, and confirmed commits' expected b, the only one with the last commits; b is paused first now, so nothing is confirmed by it alone and ready c is as good. It asserts that b was paused before the promotion, and as before that no commit is lost.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -458,7 +458,7 @@
     And commits are acknowledged again
     And no controller has crashed
 
-  Scenario: A replica that was taken for exited, and confirmed commits, is found before the promotion
+  Scenario: A replica that was taken for exited, and confirmed commits, is paused with the others
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
     And proxies that answer notices of an assignment, and acknowledge commits by their views
     And 0 of 2 other controllers reach the backend
@@ -470,7 +470,8 @@
     When "b" is reachable to the controllers
     And "a" is unreachable to the controllers
     And "a" is suspected
-    Then "b" is primary and the assignment is settled within 6000 ms
+    Then "c" is primary and the assignment is settled within 6000 ms
+    And "b" was paused before the promotion was requested
     And no acknowledged commit is lost
 
   Scenario Outline: A promotion waits until no proxy acts on an older view, and no longer: proxies <answer>
@@ -509,7 +510,7 @@
     When "a" crashes
     And "a" is suspected
     Then "b" is primary and the assignment is settled within 4000 ms
-    And a log line matches "service s: a is fenced: 2 of 2 known replicas are paused \(b at 3.\d+, c at 3.\d+\); deregistered: none; not heard: none; settled: none; heartbeats received here for \d+ ms"
+    And a log line matches "service s: a is fenced: 2 of 2 known replicas are paused \(b at 3.\d+, c at 3.\d+\); deregistered: none; not heard: none; presumed to have exited: none; heartbeats received here for \d+ ms"
     And a log line matches "service s: b is to be promoted with its log up to 3.\d+; proxies have acknowledged up to 3.\d+"
     And a log line matches "service s: replicas resumed: c"
     And the controllers counted "promotion.behind_acknowledged" 0 times
@@ -618,3 +619,22 @@
     And the controllers run for 3000 ms
     Then each paused replica was resumed, after the assignment was confirmed by a write
     And the promotions requested were "none"
+
+  Scenario: A replica that was taken for exited while it was unreachable counts for the fence if it answers
+    # guards against a successor that lacks commits of a leaving replica that was cut off from the controllers for a while
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And 0 of 2 other controllers reach the backend
+    And the failover lease is held and the assignment is settled
+    When "c" deregisters, and keeps serving
+    And "c" is unreachable to the controllers
+    And the controllers run for 2000 ms
+    Then the deregistration of "c" is settled: yes
+    When "c" is reachable to the controllers
+    And "b" receives nothing any more
+    And the controllers run for 300 ms
+    And "a" crashes
+    And "a" is suspected
+    And the controllers run for 3000 ms
+    Then no acknowledged commit is lost
+    And "c" is primary and the assignment is settled within 1000 ms
--- a/features/steps/cluster_stage.py
+++ b/features/steps/cluster_stage.py
@@ -152,6 +152,8 @@
         self.receives = True
         self.number = 0
         self.stepped_us = 0
+        # when it was paused first; 0 for never
+        self.paused_us = 0
         self.log: list[str] = []
 
 
@@ -273,6 +275,7 @@
             return Error(CinderstairError(code=ErrorCode.NO_RESPONSE, reason="BUSY"))
         if term > found.held and not found.is_primary:
             found.held, found.paused = term, True
+            found.paused_us = found.paused_us or self.stage.now_us
         return self._state(found)
 
     async def resume(self, *, backend: Announcement, wait_us: int) -> Result[BackendState, CinderstairError]:
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -409,6 +409,12 @@
     assert found == words, found
 
 
+@then('"{name}" was paused before the promotion was requested')
+def then_paused_first(context: Any, name: str) -> None:
+    paused_us = context.cluster.backends[name].paused_us
+    assert 0 < paused_us < context.cluster.calls[0][0], (paused_us, context.cluster.calls)
+
+
 @then('the assignment is {state} on "{name}"')
 def then_assignment_is(context: Any, state: str, name: str) -> None:
     assignment = assignment_of(context=context)
--- a/src/cinderstair/failover/deregistrations.py
+++ b/src/cinderstair/failover/deregistrations.py
@@ -1,6 +1,7 @@
 """Tracks replicas that have left, or are not heard, and whose logs may hold the only replicated copy of a commit."""
 
 import asyncio
+from enum import Enum, auto
 
 from ..membership.announcement import Announcement
 from ..membership.heartbeat import READY
@@ -17,14 +18,23 @@
 RETRY_US = 300_000
 
 
+class _Exit(Enum):
+    """What a probe of a backend shows: its process may run, has exited, or nobody reaches it."""
+
+    unknown = auto()
+    exited = auto()
+    unreachable = auto()
+
+
 class Deregistrations:
     """Owns the set of settled deregistrations.
 
     A replica confirms commits until its process exits, possibly long after its deregistration. Such an acknowledged
     commit may exist only in the logs of the primary and of that replica.
 
-    Invariant: a deregistration is settled only after the process has exited and another replica has every commit that
-    it may have confirmed. Until then the backend counts as a member for fencing.
+    Invariant: a deregistration is settled only after the process has exited, or no controller reaches it, and another
+    replica has every commit that it may have confirmed. Until then the backend counts as a member for fencing, and
+    where it was only unreachable it counts after that as well if it is reachable again.
     """
 
     def __init__(
@@ -43,8 +53,9 @@
         self.records = records
         self.control = control
         self.reachability_poll = reachability_poll
-        # names of backends
+        # names of backends; those in `unreachable` are settled without proof that they have exited
         self.settled: set[str] = set()
+        self.unreachable: set[str] = set()
         # services with an attempt to settle in progress
         self.settling: set[str] = set()
 
@@ -52,9 +63,14 @@
         """The deregistered replicas whose logs may still be needed."""
         return [each for each in self.members.deregistered(service=service) if each.name not in self.settled]
 
-    def settled_replicas(self, *, service: str) -> list[Announcement]:
-        """The deregistered replicas whose logs are taken not to be needed any more."""
-        return [each for each in self.members.deregistered(service=service) if each.name in self.settled]
+    def presumed_exited(self, *, service: str) -> list[Announcement]:
+        """The settled replicas of which it is not certain that they have exited."""
+        return [each for each in self.members.deregistered(service=service) if each.name in self.unreachable]
+
+    @property
+    def exited(self) -> set[str]:
+        """The names of the deregistered backends that have certainly exited, and are not needed any more."""
+        return self.settled - self.unreachable
 
     def settle(self, *, service: str, primary: Announcement | None, replicas: list[Announcement]) -> None:
         """Tries in the background to settle deregistrations and unheard replicas, unless an attempt is in progress.
@@ -62,6 +78,7 @@
         :param primary: None if it never sent a heartbeat; then nothing can be settled.
         """
         self.settled &= set(self.heartbeat_table.newest)
+        self.unreachable &= self.settled
         if primary is None or service in self.settling:
             return
         departed = [each for each in self.unsettled(service=service) if each.name != primary.name]
@@ -83,52 +100,67 @@
         replicas: list[Announcement],
     ) -> None:
         try:
-            ended = [each.name for each in departed if await self._has_ended(backend=each)]
-            ended_unheard = [
-                each.announcement.name for each in unheard if await self._has_ended(backend=each.announcement)
-            ]
-            lost = [each.announcement.name for each in unheard if each.expired and await self._is_lost(replica=each)]
-            replicated = bool(ended or ended_unheard) and await self._is_replicated(
-                primary=primary, replicas=replicas
+            settled = await self._settle_departed(
+                service=service, departed=departed, primary=primary, replicas=replicas
+            )
+            forgotten = await self._forget_unheard(
+                service=service, unheard=unheard, primary=primary, replicas=replicas
             )
-            if replicated and ended:
-                self.settled.update(ended)
-                self.ctx.log.info(
-                    "service %s: the deregistrations of %s are settled: the processes have exited, and another "
-                    "replica has every commit that they confirmed",
-                    service,
-                    ", ".join(ended),
-                )
-            forgotten = {*lost, *(ended_unheard if replicated else ())}
-            if forgotten and await self.records.forget(service=service, names=forgotten):
-                self.ctx.log.info(
-                    "service %s: %s no longer count for a fence: exited, and another replica has every commit that "
-                    "they confirmed, or silent and unreachable for too long",
-                    service,
-                    ", ".join(sorted(forgotten)),
-                )
-            if not replicated and not forgotten:
+            if not settled and not forgotten:
                 await self.ctx.sleep(duration_us=RETRY_US)
         finally:
             self.settling.discard(service)
 
-    async def _is_lost(self, *, replica: UnheardReplica) -> bool:
-        """Whether a replica that has been silent for long can't be reached either."""
-        state = await self.control.state(backend=replica.announcement, wait_us=PROBE_WAIT_US)
-        return state.is_error()
-
-    async def _has_ended(self, *, backend: Announcement) -> bool:
-        """Whether a deregistered backend has exited: by a probe of its address, or a unanimous vote of the others."""
+    async def _settle_departed(
+        self, *, service: str, departed: list[Announcement], primary: Announcement, replicas: list[Announcement]
+    ) -> bool:
+        """Settles the deregistrations that need not be waited for; whether there is one."""
+        exits = {each.name: await self._exit(backend=each) for each in departed}
+        ended = [name for name, found in exits.items() if found is not _Exit.unknown]
+        if not ended or not await self._is_replicated(primary=primary, replicas=replicas):
+            return False
+        self.settled.update(ended)
+        self.unreachable.update(name for name in ended if exits[name] is _Exit.unreachable)
+        self.ctx.log.info(
+            "service %s: the deregistrations of %s are settled: the processes have exited, and another "
+            "replica has every commit that they confirmed",
+            service,
+            ", ".join(ended),
+        )
+        return True
+
+    async def _forget_unheard(
+        self, *, service: str, unheard: list[UnheardReplica], primary: Announcement, replicas: list[Announcement]
+    ) -> bool:
+        """Removes unheard replicas from the record that need not be waited for; whether there is one."""
+        exits = {each.announcement.name: await self._exit(backend=each.announcement) for each in unheard}
+        expired = {each.announcement.name for each in unheard if each.expired}
+        exited = {name for name, found in exits.items() if found is _Exit.exited}
+        forgotten = {name for name, found in exits.items() if name in expired and found is not _Exit.unknown}
+        if exited - forgotten and await self._is_replicated(primary=primary, replicas=replicas):
+            forgotten |= exited
+        if not forgotten or not await self.records.forget(service=service, names=forgotten):
+            return False
+        self.ctx.log.info(
+            "service %s: %s no longer count for a fence: exited, and another replica has every commit that "
+            "they confirmed, or silent and unreachable for too long",
+            service,
+            ", ".join(sorted(forgotten)),
+        )
+        return True
+
+    async def _exit(self, *, backend: Announcement) -> _Exit:
+        """Whether a backend has exited, by a probe of its address, else whether any controller reaches it."""
         state = await self.control.state(backend=backend, wait_us=PROBE_WAIT_US)
         if state.is_ok():
-            return False
+            return _Exit.unknown
         if state.error.details.get("ended"):
-            return True
+            return _Exit.exited
         if state.error.code != ErrorCode.REQUEST_NOT_SENT:
-            return False
+            return _Exit.unknown
         # A backend that is unreachable only from this daemon may still confirm commits for its primary.
         votes = await self.reachability_poll(backend.name)
-        return votes.unanimously_unreachable
+        return _Exit.unreachable if votes.unanimously_unreachable else _Exit.unknown
 
     async def _is_replicated(self, *, primary: Announcement, replicas: list[Announcement]) -> bool:
         """Whether a remaining replica has everything that the primary's log holds after the others have exited."""
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -1,10 +1,12 @@
 """Fences an old primary by pausing its replicas, and resumes them afterwards."""
 
+import asyncio
 from dataclasses import dataclass
 
 from ..config.service_plan import Service
 from ..membership.announcement import Announcement
 from ..membership.heartbeat import READY
+from ..runtime.errors import ErrorCode
 from .backend_control import BackendState
 from .deregistrations import Deregistrations
 from .replica_records import ReplicaRecords
@@ -36,6 +38,14 @@
     since_us: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class DoubtfulReplicas:
+    """Replicas that need not run any more: the states of those that answered, and all that could be reached."""
+
+    states: dict[str, BackendState]
+    reachable: tuple[Announcement, ...]
+
+
 class ReplicaFencing:
     """Owns which replicas are paused or may be, by service.
 
@@ -70,13 +80,16 @@
         began_us = self.failover.ctx.now_us()
         self.fenced.add(service.name)
         departed = self._departed(service=service.name, primary=assignment.primary)
-        expired = self._expired(service=service.name, primary=assignment.primary)
-        asked = [*others, *departed, *expired]
-        needed = _fence_quorum(replicas=len(asked), confirmations=service.confirmations)
-        states = await self._pause(replicas=asked, term=term, needed=needed)
+        doubtful = self._doubtful(service=service.name, primary=assignment.primary)
+        certain = [*others, *departed]
+        enough = _fence_quorum(replicas=len(certain), confirmations=service.confirmations)
+        answers, doubted = await asyncio.gather(
+            self._pause(replicas=certain, term=term, needed=enough),
+            self._pause_doubtful(replicas=doubtful, term=term),
+        )
+        states = answers | doubted.states
+        replicas = [*certain, *doubted.reachable]
         paused = {name: state for name, state in states.items() if state.term_held == term}
-        # One that has long been silent counts only if it answers: the failover must not wait for it.
-        replicas = [*others, *departed, *(each for each in expired if each.name in states)]
         needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
         if len(paused) >= needed:
             successor = _longest(paused=paused, replicas=replicas, term=term)
@@ -100,10 +113,10 @@
         """Logs which replicas are paused and how far each is, out of how many that this controller knows."""
         unsettled = self.deregistrations.unsettled(service=service)
         unheard = self.records.unheard(service=service)
-        settled = self.deregistrations.settled_replicas(service=service)
+        presumed = self.deregistrations.presumed_exited(service=service)
         self.failover.ctx.log.info(
             "service %s: %s is fenced: %d of %d known replicas are paused (%s); deregistered: %s; not heard: %s; "
-            "settled: %s; heartbeats received here for %d ms",
+            "presumed to have exited: %s; heartbeats received here for %d ms",
             service,
             primary,
             len(paused),
@@ -111,30 +124,29 @@
             ", ".join(f"{name} at {state.received}" for name, state in sorted(paused.items())),
             _names(backends=unsettled),
             _names(backends=[each.announcement for each in unheard if each.announcement.name != primary]),
-            _names(backends=settled),
+            _names(backends=presumed),
             self.failover.members.heartbeat_table.running_us // 1_000,
         )
 
-    async def fence_again(
-        self, *, service: Service, assignment: ServicePrimary, include_settled: bool
-    ) -> Successor | None:
+    async def fence_again(self, *, service: Service, assignment: ServicePrimary) -> Successor | None:
         """Pauses the replicas known now, for an assignment that is moving, and returns the one with the longest log.
 
         Replicas that started since the first fence are among them. One that was paused then and does not answer now
         counts as paused.
 
-        :param include_settled: whether deregistered replicas that were taken for exited are asked too.
         :returns: None if too few are paused.
         """
         primary = self._replaced_primary(service=service.name, successor=assignment.primary)
         members = self.failover.members.of_service(service=service.name)
-        replicas = [each for each in members if each.name != primary]
-        replicas += self._departed(service=service.name, primary=primary)
-        expired = self._expired(service=service.name, primary=primary)
-        settled = self.deregistrations.settled_replicas(service=service.name) if include_settled else []
-        asked = [*replicas, *settled, *expired]
-        states = await self._pause(replicas=asked, term=assignment.term, needed=len(asked))
-        replicas += [each for each in expired if each.name in states]
+        certain = [each for each in members if each.name != primary]
+        certain += self._departed(service=service.name, primary=primary)
+        doubtful = self._doubtful(service=service.name, primary=primary)
+        answers, doubted = await asyncio.gather(
+            self._pause(replicas=certain, term=assignment.term, needed=len(certain)),
+            self._pause_doubtful(replicas=doubtful, term=assignment.term),
+        )
+        states = answers | doubted.states
+        replicas = [*certain, *doubted.reachable]
         needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
         paused = {name: state for name, state in states.items() if state.term_held >= assignment.term}
         held = self.held.get(service.name)
@@ -165,10 +177,15 @@
         departed = [*self.deregistrations.unsettled(service=service), *unheard]
         return [each for each in departed if each.name != primary]
 
-    def _expired(self, *, service: str, primary: str) -> list[Announcement]:
-        """The replicas that have been silent for long; they count for the fence if they answer."""
+    def _doubtful(self, *, service: str, primary: str) -> list[Announcement]:
+        """The replicas that have long been silent, or were unreachable after they had left.
+
+        They count for the fence if they are reachable: the failover must not wait for those that are not.
+        """
         unheard = self.records.unheard(service=service)
-        return [each.announcement for each in unheard if each.expired and each.announcement.name != primary]
+        expired = [each.announcement for each in unheard if each.expired]
+        presumed = self.deregistrations.presumed_exited(service=service)
+        return [each for each in (*expired, *presumed) if each.name != primary]
 
     def paused_for_us(self, *, service: str) -> int:
         """Time since this lease holder began to pause the service's replicas; `UNKNOWN_PAUSE_US` if it did not."""
@@ -182,6 +199,19 @@
             enough=lambda answers: sum(state.term_held == term for state in answers.values()) >= needed,
         )
 
+    async def _pause_doubtful(self, *, replicas: list[Announcement], term: int) -> DoubtfulReplicas:
+        control = self.failover.control
+        results = await asyncio.gather(
+            *(control.pause(backend=each, term=term, wait_us=PAUSE_WAIT_US) for each in replicas)
+        )
+        answers = list(zip(replicas, results, strict=True))
+        return DoubtfulReplicas(
+            states={each.name: result.ok for each, result in answers if result.is_ok()},
+            reachable=tuple(
+                each for each, result in answers if result.is_ok() or result.error.code != ErrorCode.REQUEST_NOT_SENT
+            ),
+        )
+
     # -- resuming --
 
     def assume_all_fenced(self) -> None:
@@ -199,7 +229,8 @@
         """The backends that a fence of the service may have paused."""
         unheard = [each.announcement for each in self.records.unheard(service=service)]
         departed = self.deregistrations.unsettled(service=service)
-        return [*self.failover.members.of_service(service=service), *departed, *unheard]
+        presumed = self.deregistrations.presumed_exited(service=service)
+        return [*self.failover.members.of_service(service=service), *departed, *presumed, *unheard]
 
     def confirmation_due(self, *, service: str) -> bool:
         """Whether the service's assignment must be confirmed now."""
--- a/src/cinderstair/failover/service_failover.py
+++ b/src/cinderstair/failover/service_failover.py
@@ -217,7 +217,7 @@
             return
         if assignment.state == PrimaryState.settled:
             self._settle_deregistrations(service=name, primary=assignment.primary)
-            self.records.update(service=name, primary=assignment.primary, settled=self.deregistrations.settled)
+            self.records.update(service=name, primary=assignment.primary, settled=self.deregistrations.exited)
         if assignment.state == PrimaryState.moving:
             await self.promotion.finish(service=service, assignment=assignment)
             return
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -90,12 +90,7 @@
         self, *, service: Service, assignment: ServicePrimary, acknowledged: AcknowledgedCommits | None
     ) -> Successor | None:
         """The replica with the longest log of those known now; None if it may lack acknowledged commits."""
-        longest = await self._fence_again(service=service, assignment=assignment, include_settled=False)
-        if longest is not None and self._replica_unknown(
-            service=service, acknowledged=acknowledged, fence=longest.fence
-        ):
-            # Most replicas that were taken for exited have exited, so they are asked only where others lack commits.
-            longest = await self._fence_again(service=service, assignment=assignment, include_settled=True)
+        longest = await self._fence_again(service=service, assignment=assignment)
         if longest is None:
             return None
         if not self._replica_unknown(service=service, acknowledged=acknowledged, fence=longest.fence):
@@ -104,13 +99,9 @@
         self.failover.blocking.report(name=service.name, reason=reason)
         return None
 
-    async def _fence_again(
-        self, *, service: Service, assignment: ServicePrimary, include_settled: bool
-    ) -> Successor | None:
+    async def _fence_again(self, *, service: Service, assignment: ServicePrimary) -> Successor | None:
         """See `ReplicaFencing.fence_again`; where a replica that was paused first had a longer log, that replica."""
-        fenced = await self.fencing.fence_again(
-            service=service, assignment=assignment, include_settled=include_settled
-        )
+        fenced = await self.fencing.fence_again(service=service, assignment=assignment)
         held = self.fencing.held.get(service.name)
         if fenced is not None and held is not None and held.longest.fence > fenced.fence:
             return held.longest
