--- a/src/cinderstair/failover/service_failover.py
+++ b/src/cinderstair/failover/service_failover.py
@@ -3,7 +3,8 @@
 This module decides which step a service needs. The steps are implemented in `primary_monitor` (whether and why the
 primary must be replaced), `switchover` (a reachable primary steps down), `replica_fencing` (the replicas of an
 unreachable primary are paused), `successor` (choice of the next primary), `successor_check` (the successor has every
-acknowledged commit) and `promotion` (promotes the successor and waits until it serves).
+acknowledged commit) and `promotion` (promotes the successor and waits until it serves). `primary_replacement` runs
+them one after the other.
 """
 
 from collections.abc import Awaitable, Callable
@@ -19,14 +20,13 @@
 from ..membership.heartbeat_table import HeartbeatTable
 from ..runtime.context import Context
 from ..runtime.errors import CinderstairError
-from ..runtime.position import START
 from .acknowledged_commits import NotifyProxies
 from .backend_control import BackendControl, Promoter
 from .backend_poller import BackendPoller
 from .blocking_reasons import BlockingReasons
 from .deregistrations import Deregistrations
-from .move_reason import MoveReason
 from .primary_monitor import PrimaryMonitor
+from .primary_replacement import PrimaryReplacement
 from .promotion import Promotion
 from .reachability_votes import ReachabilityPoll
 from .replica_fencing import ReplicaFencing
@@ -36,7 +36,6 @@
 from .service_members import ServiceMembers
 from .service_primary import PrimaryState, ServicePrimary
 from .singleton_role import CONTROL_DAEMONS, SingletonRoleMixin
-from .successor import Successor, successor_at_same_address
 from .successor_check import SuccessorCheck
 from .switchover import Switchover
 
@@ -140,6 +139,9 @@
             fence_number=lambda: self.fence_number,
             find_backend=self.records.find,
         )
+        self.replacement = PrimaryReplacement(
+            failover=failover, switchover=self.switchover, fencing=self.fencing, promotion=self.promotion
+        )
 
     @property
     def primaries(self) -> dict[str, ServicePrimary]:
@@ -224,7 +226,7 @@
         assigned_us = self.failover.assignments.since_us[name]
         reason = await self.monitor.move_reason(primary=assignment.primary, assigned_us=assigned_us)
         if reason is not None:
-            await self._replace_primary(service=service, assignment=assignment, reason=reason)
+            await self.replacement.replace(service=service, assignment=assignment, reason=reason)
         elif self.fencing.confirmation_due(service=name):
             await self.fencing.confirm(service=name, assignment=assignment)
         elif not self.fencing.start_resuming(service=name, assignment=assignment):
@@ -251,66 +253,3 @@
         name = max(reporting, key=lambda each: reporting[each].term)
         assignment = ServicePrimary(term=reporting[name].term, primary=name, state=PrimaryState.settled)
         await self.failover.assignments.compare_and_set(service=service, old=None, new=assignment)
-
-    async def _replace_primary(self, *, service: Service, assignment: ServicePrimary, reason: MoveReason) -> None:
-        """Chooses a successor for a primary that must be replaced, assigns it and promotes it."""
-        began_us = self.ctx.now_us()
-        explanation = reason.describe(primary=assignment.primary)
-        self.failover.blocking.report(name=service.name, reason=explanation)
-        self.failover.retry_later(service=service.name)
-        old = self.failover.members.latest(name=assignment.primary)
-        successor: Successor | None
-        if old is not None and reason.primary_answers:
-            stepped = await self.switchover.step_down(
-                service=service.name,
-                assignment=assignment,
-                old=old,
-                others=self._others(service=service.name, primary=assignment.primary),
-            )
-            if stepped is None:
-                return
-            assignment, successor = stepped.assignment, stepped.successor
-        else:
-            successor = await self._successor_of_lost(
-                service=service, assignment=assignment, old=old, explanation=explanation
-            )
-        if successor is not None:
-            await self._assign(service=service, assignment=assignment, successor=successor, began_us=began_us)
-
-    def _others(self, *, service: str, primary: str) -> list[Announcement]:
-        members = self.failover.members.of_service(service=service)
-        return [each for each in members if each.name != primary]
-
-    async def _successor_of_lost(
-        self, *, service: Service, assignment: ServicePrimary, old: Announcement | None, explanation: str
-    ) -> Successor | None:
-        """The successor of a primary that can't be asked to step down; None if no backend can be chosen yet."""
-        others = self._others(service=service.name, primary=assignment.primary)
-        replacement = await successor_at_same_address(
-            poller=self.failover.poller, assignment=assignment, old=old, others=others
-        )
-        if replacement is not None:
-            return replacement
-        if any(each.state == READY for each in others):
-            return await self.fencing.fence(service=service, assignment=assignment, others=others)
-        reason = f"{explanation}, and no replica is ready to replace it"
-        self.failover.blocking.report(name=service.name, reason=reason)
-        return None
-
-    async def _assign(
-        self, *, service: Service, assignment: ServicePrimary, successor: Successor, began_us: int
-    ) -> None:
-        assignments = self.failover.assignments
-        expected_us = max(self.failover.promotion_us, assignments.view_expiry_us)
-        moving = ServicePrimary(
-            term=successor.term,
-            primary=successor.name,
-            state=PrimaryState.moving,
-            fence=successor.fence if successor.old_primary_stopped else START,
-            # Stopping the old primary may already have taken longer than the whole expected promotion.
-            ready_in_us=max(0, expected_us - (self.ctx.now_us() - began_us)),
-            planned=assignment.planned,
-        )
-        if await assignments.compare_and_set(service=service.name, old=assignment, new=moving):
-            self.ctx.counters.add(name="promotion.moves")
-            await self.promotion.finish(service=service, assignment=self.primaries[service.name])
