A paused replica whose answer is missing is waited for where commits were acknowledged after the pause

What callers would see: acknowledged commits missing after a promotion, ten seconds after the primary was cut off from the controllers. Cause: a replica that was paused and does not answer before the promotion counts as paused. It may have restarted, which ends a pause, have confirmed commits of the old primary alone, and be out of reach now; after 10 s the promotion went on, as if an unknown replica were waited for. Change: where proxies have acknowledged more than the longest known log, and after the pause, all replicas that count must answer; only then is a replica without heartbeats waited for, 10 s at most, as before. Before: the new scenario is red (b is promoted while c, which has the commits, is unreachable).

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -638,3 +638,19 @@
     And the controllers run for 3000 ms
     Then no acknowledged commit is lost
     And "c" is primary and the assignment is settled within 1000 ms
+
+  Scenario: A paused replica that restarted, confirmed commits and is unreachable is waited for
+    # guards against a successor that lacks commits of a replica whose pause has ended, since it counts as paused
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" is unreachable to the controllers
+    And "a" is suspected
+    And the replicas are paused
+    And "c" restarts, which ends its pause
+    And "c" is unreachable to the controllers
+    And the controllers run for 14000 ms
+    Then the promotions requested were "none"
+    When "c" is reachable to the controllers
+    Then "c" is primary and the assignment is settled within 4000 ms
+    And no acknowledged commit is lost
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -128,12 +128,15 @@
             self.failover.members.heartbeat_table.running_us // 1_000,
         )
 
-    async def fence_again(self, *, service: Service, assignment: ServicePrimary) -> Successor | None:
+    async def fence_again(
+        self, *, service: Service, assignment: ServicePrimary, require_answers: bool
+    ) -> Successor | None:
         """Pauses the replicas known now, for an assignment that is moving, and returns the one with the longest log.
 
-        Replicas that started since the first fence are among them. One that was paused then and does not answer now
-        counts as paused.
+        Replicas that started since the first fence are among them.
 
+        :param require_answers: whether a replica that was paused then, and does not answer now, counts as not paused:
+            it may have restarted, which ends a pause, and have confirmed further commits.
         :returns: None if too few are paused.
         """
         primary = self._replaced_primary(service=service.name, successor=assignment.primary)
@@ -150,7 +153,7 @@
         needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
         paused = {name: state for name, state in states.items() if state.term_held >= assignment.term}
         held = self.held.get(service.name)
-        paused_before = frozenset() if held is None else held.names - states.keys()
+        paused_before = frozenset() if held is None or require_answers else held.names - states.keys()
         count = len({each.name for each in replicas} & (paused.keys() | paused_before))
         if not paused or count < needed:
             reason = f"{assignment.primary} can't be promoted: {count} of {needed} required replicas are paused"
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -90,18 +90,29 @@
         self, *, service: Service, assignment: ServicePrimary, acknowledged: AcknowledgedCommits | None
     ) -> Successor | None:
         """The replica with the longest log of those known now; None if it may lack acknowledged commits."""
-        longest = await self._fence_again(service=service, assignment=assignment)
+        longest = await self._fence_again(service=service, assignment=assignment, require_answers=False)
+        if longest is None or not self._lacks_commits(
+            service=service, acknowledged=acknowledged, fence=longest.fence
+        ):
+            return longest
+        longest = await self._fence_again(service=service, assignment=assignment, require_answers=True)
         if longest is None:
             return None
-        if not self._replica_unknown(service=service, acknowledged=acknowledged, fence=longest.fence):
+        waited_us = self.failover.ctx.now_us() - self.failover.assignments.moving_since_us[service.name]
+        lacks_commits = self._lacks_commits(service=service, acknowledged=acknowledged, fence=longest.fence)
+        if not lacks_commits or waited_us >= UNKNOWN_REPLICA_WAIT_US:
             return longest
         reason = f"commits after {longest.fence} were acknowledged, and no known replica has them"
         self.failover.blocking.report(name=service.name, reason=reason)
         return None
 
-    async def _fence_again(self, *, service: Service, assignment: ServicePrimary) -> Successor | None:
+    async def _fence_again(
+        self, *, service: Service, assignment: ServicePrimary, require_answers: bool
+    ) -> Successor | None:
         """See `ReplicaFencing.fence_again`; where a replica that was paused first had a longer log, that replica."""
-        fenced = await self.fencing.fence_again(service=service, assignment=assignment)
+        fenced = await self.fencing.fence_again(
+            service=service, assignment=assignment, require_answers=require_answers
+        )
         held = self.fencing.held.get(service.name)
         if fenced is not None and held is not None and held.longest.fence > fenced.fence:
             return held.longest
@@ -157,16 +168,13 @@
         await self.failover.refresh_heartbeats()
         return None
 
-    def _replica_unknown(
-        self, *, service: Service, acknowledged: AcknowledgedCommits | None, fence: Position
-    ) -> bool:
-        """Whether commits were acknowledged that only a replica without any heartbeat so far can have confirmed.
+    def _lacks_commits(self, *, service: Service, acknowledged: AcknowledgedCommits | None, fence: Position) -> bool:
+        """Whether commits after `fence` were acknowledged after the replicas were paused.
 
-        All known replicas were paused, so an acknowledgement after that is the sign of another one.
+        Either a replica without any heartbeat so far has confirmed them, or one whose pause has ended.
         """
         if acknowledged is None:
             return False
         held = self.fencing.held.get(service.name)
         after_pause = held is None or acknowledged.last_us > held.since_us
-        waited_us = self.failover.ctx.now_us() - self.failover.assignments.moving_since_us[service.name]
-        return after_pause and acknowledged.position > fence and waited_us < UNKNOWN_REPLICA_WAIT_US
+        return after_pause and acknowledged.position > fence
