--- a/src/cinderstair/simulation/soak/soak_run.py
+++ b/src/cinderstair/simulation/soak/soak_run.py
@@ -39,6 +39,7 @@
         self.options = options
         command = f"python -m cinderstair.simulation soak --seed {options.seed} --seconds {options.seconds}"
         command += f" --controllers {options.controllers} --proxies {options.proxies} --services {options.services}"
+        command += f" --clients {options.clients}" if options.clients else ""
         self.report = SoakReport(command=command + (f" --trial {options.trial}" if options.trial else ""))
         self.world = SoakWorld(
             network=FIRST_NETWORK + random.SystemRandom().randrange(NETWORKS),
@@ -84,7 +85,8 @@
     def _begin_clients(self, *, trial: Trial | None) -> None:
         world = self.world
         if trial is None:
-            world.clients_begin(count=CLIENTS_PER_PROXY * self.options.proxies, think_us=THINK_US)
+            count = self.options.clients or CLIENTS_PER_PROXY * self.options.proxies
+            world.clients_begin(count=count, think_us=THINK_US)
         else:
             world.clients_begin(
                 count=trial.clients,
@@ -146,6 +148,7 @@
     parser.add_argument("--controllers", type=int, default=CONTROLLERS)
     parser.add_argument("--proxies", type=int, default=PROXIES)
     parser.add_argument("--services", type=int, default=SERVICES)
+    parser.add_argument("--clients", type=int, default=0, help=f"{CLIENTS_PER_PROXY} for each proxy if left out")
     parser.add_argument("--trial", default="", help="play this trial of the simulated platform instead")
     parser.add_argument("--report", default="", help="a file for the report as JSON")
     parser.add_argument("--keep", action="store_true", help="keep the logs of a run that broke no rule")
