--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -654,3 +654,44 @@
     When "c" is reachable to the controllers
     Then "c" is primary and the assignment is settled within 4000 ms
     And no acknowledged commit is lost
+
+  Scenario: A backend that returned under another name at its address counts once
+    # guards against a service without a primary, since the old name is waited for
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And the failover lease is held and the assignment is settled
+    When "b" receives nothing any more
+    And the controllers run for 100 ms
+    And "c" crashes, and returns as "d" at its address with its log
+    And "a" crashes
+    And "a" is suspected
+    Then "d" is primary and the assignment is settled within 4000 ms
+    And no acknowledged commit is lost
+
+  Scenario: A failover that all controllers' restart interrupted does not wait for the primary that it replaces
+    # guards against a service without a primary, since the replaced one, which nobody has heard since, counts as a replica
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that do not answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" crashes
+    And "a" is suspected
+    And the assignment is moving
+    And all controllers are restarted
+    Then "b" is primary and the assignment is settled within 8000 ms
+    And no acknowledged commit is lost
+
+  Scenario: A replica that left, was unreachable, and answers that it is busy is waited for
+    # guards against a successor that lacks commits of a replica that can be reached, but not paused
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And 0 of 2 other controllers reach the backend
+    And the failover lease is held and the assignment is settled
+    When "c" deregisters, and keeps serving
+    And "c" is unreachable to the controllers
+    And the controllers run for 2000 ms
+    And "c" is reachable to the controllers
+    And "c" can't be paused
+    And "b" receives nothing any more
+    And the controllers run for 300 ms
+    And "a" crashes
+    And "a" is suspected
+    And the controllers run for 3000 ms
+    Then the promotions requested were "none"
--- a/features/steps/cluster_stage.py
+++ b/features/steps/cluster_stage.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -135,6 +136,7 @@
 
     def __init__(self, *, name: str, is_primary: bool, at: Position) -> None:
         self.name = name
+        self.address = f"{name}:1"
         self.is_primary = is_primary
         self.term = at.term
         self.at = at
@@ -196,7 +198,7 @@
                 name=backend.name, state=backend.standing, is_primary=backend.is_primary, number=backend.number
             )
             for receive in self.heartbeat_listeners:
-                receive(heartbeat)
+                receive(replace(heartbeat, address=backend.address))
 
     async def _commit(self) -> None:
         while True:
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -151,6 +151,15 @@
     context.cluster.backends[name].paused = False
 
 
+@when('"{name}" crashes, and returns as "{other}" at its address with its log')
+def when_returns_renamed(context: Any, name: str, other: str) -> None:
+    crashed = context.cluster.backends[name]
+    crashed.up = False
+    replica = context.cluster.add_replica(name=other)
+    replica.at, replica.address, replica.heartbeats = crashed.at, crashed.address, True
+    context.stage.call(call=lambda: context.cluster.send_heartbeat(backend=replica))
+
+
 @when('"{name}" receives nothing any more')
 def when_receives_nothing(context: Any, name: str) -> None:
     context.cluster.backends[name].receives = False
@@ -169,6 +178,7 @@
 
 
 @given('"{name}" can\'t be paused')
+@when('"{name}" can\'t be paused')
 def given_not_pausable(context: Any, name: str) -> None:
     context.cluster.backends[name].pausable = False
 
