A backend that calls itself primary is promoted anew before it replaces a successor

Cause: the chosen backend deregistered after its promotion was requested. Failover gave it up at once, found the old primary, which had returned and called itself primary, and assigned that without a promotion. The promotion under way took effect half a second later and replaced it while it served. Change: a successor that has deregistered is waited for like any other, since its promotion takes effect all the same. Where another backend is assigned in its place, one that calls itself primary steps down first, so that only a promotion requested from now on, which comes after the one under way, makes it primary. The backend with the longest log is chosen, whatever it calls itself.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -695,3 +695,31 @@
     And "a" is suspected
     And the controllers run for 3000 ms
     Then the promotions requested were "none"
+
+  Scenario: An old primary that returns while another backend's promotion is under way serves only once it is promoted
+    # guards against commits acknowledged by a primary that a promotion under way replaces
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" crashes
+    And "a" is suspected
+    And the promotion of "b" is requested
+    And "b" deregisters, and keeps serving
+    And "a" is restarted
+    And the controllers run for 5000 ms
+    Then the settled primary is the one that was promoted last
+    And no acknowledged commit is lost
+
+  Scenario: An old primary that returns while the successor is unreachable serves only once it is promoted
+    # guards against commits acknowledged by a primary that a promotion under way replaces
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" crashes
+    And "a" is suspected
+    And the promotion of "b" is requested
+    And "b" is unreachable to the controllers
+    And "a" is restarted
+    And the controllers run for 5000 ms
+    Then the settled primary is the one that was promoted last
+    And no acknowledged commit is lost
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -463,6 +463,21 @@
         context.stage.call(call=lambda each=each: context.cluster.send_heartbeat(backend=each))
 
 
+@when('the promotion of "{name}" is requested')
+def when_promotion_requested(context: Any, name: str) -> None:
+    wait_for(
+        context=context, test=lambda: any(call[1] == name for call in context.cluster.calls), within_us=8_000_000
+    )
+
+
+@then("the settled primary is the one that was promoted last")
+def then_settled_on_last_promoted(context: Any) -> None:
+    assignment = assignment_of(context=context)
+    assert assignment is not None and assignment.state == PrimaryState.settled, assignment
+    terms = {each.name: each.term for each in context.cluster.backends.values() if each.is_primary}
+    assert terms.get(assignment.primary) == max(terms.values()), (assignment, terms)
+
+
 @when("the assignment is closing")
 def when_assignment_closing(context: Any) -> None:
     def closing() -> bool:
--- a/src/cinderstair/failover/promotion.py
+++ b/src/cinderstair/failover/promotion.py
@@ -5,14 +5,14 @@
 from typing import Protocol
 
 from ..config.service_plan import Service
-from ..membership.announcement import GONE, Announcement
+from ..membership.announcement import Announcement
 from ..runtime.errors import ErrorCode
 from .backend_control import BackendState, Promoter
 from .backend_poller import PROBE_WAIT_US
-from .replica_fencing import ReplicaFencing
+from .replica_fencing import PAUSE_WAIT_US, ReplicaFencing
 from .service_failover_context import ServiceFailoverContext
 from .service_primary import PrimaryState, ServicePrimary
-from .successor import primary_or_most_advanced
+from .successor import most_advanced
 from .successor_check import SuccessorCheck
 
 PRIMARY_POLL_US = 80_000
@@ -105,9 +105,9 @@
             state = await self._probe(member=member, attempt=attempt)
             if state is not None and state.is_primary:
                 return state
-            deregistered = member is not None and member.state == GONE
+            # One that has deregistered is waited for as well: the promotion was requested, and takes effect.
             unreachable = ctx.now_us() - attempt.reached_us > UNREACHABLE_US
-            if deregistered or unreachable or ctx.now_us() - attempt.began_us > PROMOTION_TIMEOUT_US:
+            if unreachable or ctx.now_us() - attempt.began_us > PROMOTION_TIMEOUT_US:
                 break
             await ctx.sleep(duration_us=PRIMARY_POLL_US)
         await self._assign_another(service=service, assignment=assignment)
@@ -148,6 +148,18 @@
             attempt.reached_us = self.failover.ctx.now_us()
         return state.ok if state.is_ok() else None
 
+    async def _step_down(self, *, service: str, backend: Announcement, term: int) -> bool:
+        """Demotes a backend that calls itself primary, so that only a promotion from now on makes it primary again.
+
+        The promotion that was requested before may still take effect, and would replace it while it serves.
+        """
+        stepped = await self.failover.control.step_down(backend=backend, term=term, wait_us=PAUSE_WAIT_US)
+        if stepped.is_ok() and not stepped.ok.is_primary:
+            return True
+        reason = f"{backend.name} calls itself primary, and did not step down when requested"
+        self.failover.blocking.report(name=service, reason=reason)
+        return False
+
     async def _assign_another(self, *, service: Service, assignment: ServicePrimary) -> None:
         """Assigns another backend whose log includes the fence position, in a higher term."""
         failover = self.failover
@@ -160,8 +172,13 @@
             reason = f"{assignment.primary} was not promoted, and no other backend that answers has every commit"
             failover.blocking.report(name=service.name, reason=reason)
             return
-        term = max([assignment.term, *(state.term_held for state in states.values())]) + 1
-        best = primary_or_most_advanced(states=complete)
+        terms = (max(state.term, state.term_held) for state in states.values())
+        term = max([assignment.term, *terms]) + 1
+        best = most_advanced(states=complete)
+        if complete[best].is_primary and not await self._step_down(
+            service=service.name, backend=next(each for each in others if each.name == best), term=term
+        ):
+            return
         new = replace(assignment, term=term, primary=best, ready_in_us=failover.promotion_us)
         if await failover.assignments.compare_and_set(service=service.name, old=assignment, new=new):
             failover.ctx.counters.add(name="promotion.superseded")
--- a/src/cinderstair/failover/successor.py
+++ b/src/cinderstair/failover/successor.py
@@ -37,11 +37,6 @@
     return max(sorted(states), key=lambda name: states[name].received)
 
 
-def primary_or_most_advanced(*, states: dict[str, BackendState]) -> str:
-    """A backend that is already primary, else the one with the longest log."""
-    return max(sorted(states), key=lambda name: (states[name].is_primary, states[name].received))
-
-
 async def successor_at_same_address(
     *, poller: BackendPoller, assignment: ServicePrimary, old: Announcement | None, others: list[Announcement]
 ) -> Successor | None:
