--- a/features/simulation/soak.feature
+++ b/features/simulation/soak.feature
@@ -11,3 +11,8 @@
     # guards against a fence that counts only the replicas heard since the controllers' restart
     When trial controllers_killed_replica_down runs with real processes and seed 1
     Then it reports no broken rule
+
+  Scenario: Runs at the same time have different addresses
+    # guards against clients of one run that reach the processes of another
+    When 200 runs hold a loopback network each
+    Then all have different addresses, and a further run fails with "all loopback networks of the soak are in use"
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -9,6 +9,8 @@
 
 from behave import then, when
 
+from cinderstair.simulation.soak.loopback_network import LoopbackNetwork
+
 ROOT = Path(__file__).resolve().parents[2]
 SOAK_WAIT_S = 300
 
@@ -45,3 +47,23 @@
 def then_nothing_broken(context: Any) -> None:
     assert context.report is not None, context.output
     assert context.status == 0 and not context.report["breaches"], context.output
+
+
+@when("{count:d} runs hold a loopback network each")
+def when_networks_held(context: Any, count: int) -> None:
+    context.networks = []
+    for _ in range(count):
+        network = LoopbackNetwork()
+        context.networks.append(network)
+        context.add_cleanup(network.close)
+
+
+@then('all have different addresses, and a further run fails with "{reason}"')
+def then_networks_differ(context: Any, reason: str) -> None:
+    assert len({network.byte for network in context.networks}) == len(context.networks)
+    try:
+        LoopbackNetwork()
+    except OSError as error:
+        assert str(error) == reason, error
+    else:
+        raise AssertionError("a further network was found")
--- a/src/cinderstair/simulation/soak/soak_run.py
+++ b/src/cinderstair/simulation/soak/soak_run.py
@@ -13,6 +13,7 @@
 from ..platformsim.checker import Checker
 from ..platformsim.platform_trials import TRIALS, Trial
 from . import deploy_file
+from .loopback_network import LoopbackNetwork
 from .soak_faults import SoakFaults
 from .soak_report import Sample, SoakReport
 from .soak_world import SoakWorld
@@ -25,8 +26,6 @@
 SAMPLE_PERIOD_S = 1.0
 MEMORY_LIMIT_BYTES = 300_000_000
 DESCRIPTOR_LIMIT = 4_200
-# The second byte of the loopback addresses: one for each run at the same time.
-FIRST_NETWORK, NETWORKS = 20, 200
 CONTROLLERS, PROXIES, SERVICES = 3, 3, 2
 CLIENTS_PER_PROXY = 6
 THINK_US = 120_000
@@ -41,8 +40,9 @@
         command += f" --controllers {options.controllers} --proxies {options.proxies} --services {options.services}"
         command += f" --clients {options.clients}" if options.clients else ""
         self.report = SoakReport(command=command + (f" --trial {options.trial}" if options.trial else ""))
+        self.network = LoopbackNetwork()
         self.world = SoakWorld(
-            network=FIRST_NETWORK + random.SystemRandom().randrange(NETWORKS),
+            network=self.network.byte,
             seed=options.seed,
             controllers=options.controllers,
             proxies=options.proxies,
@@ -58,6 +58,7 @@
         finally:
             self._fill_report()
             self.world.close()
+            self.network.close()
         if not self.report.breaches and not self.options.keep:
             shutil.rmtree(self.world.folder, ignore_errors=True)
         return self.report
