--- a/src/cinderstair/simulation/soak/soak_faults.py
+++ b/src/cinderstair/simulation/soak/soak_faults.py
@@ -15,7 +15,7 @@
 SERIES_SHARE = 0.35
 MAX_SERIES = 4
 MAX_SERIES_PAUSE_MS = 900
-# A leaving backend that began less than this ago keeps its service from losing another one by plan.
+# The share of its answers that a backend loses.
 ANSWERS_LOST_SHARE = 0.05
 
 
