A primary that returns under another name is the primary again, or steps down and counts for the fence

Cause: the returned backend was counted among the replicas to pause. It calls itself primary, so it can't be paused, and the look for a primary that took over at the old address was made only where the old one had deregistered. While an assignment was moving the same backend blocked the promotion, and so it did at a new address. Change: the backend that answers at the assigned primary's address as primary of the assigned term is assigned, whether or not the old name has deregistered. A fence lets any other backend that calls itself primary step down, and then pauses it. Why it is safe: an address belongs to one process and a term to one primary, so the old process has exited, and its log with all that it acknowledged was taken over. Replicas paused by an incomplete fence are resumed once the new assignment is settled.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -745,3 +745,64 @@
     And the controllers run for 5000 ms
     Then the settled primary is the one that was promoted last
     And no acknowledged commit is lost
+
+  Scenario: A primary that returns under another name at its address serves again in its term
+    # guards against a service without a primary for good, since the returned one is counted as a replica that can't be paused
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" crashes, and returns as primary "d" at its address
+    And "a" is suspected
+    Then "d" is primary and the assignment is settled within 4000 ms
+    And the assignments written were "settled a 3, moving d 3, settled d 3"
+    And no acknowledged commit is lost
+    And commits are acknowledged again
+    And exactly one backend is primary, and no replica is paused
+    And no controller has crashed
+
+  Scenario: A primary that returns under another name after replicas were paused serves again, and they are resumed
+    # guards against replicas that stay paused, where the fence was not complete when the primary returned
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And "b" can't be paused
+    And the failover lease is held and the assignment is settled
+    When "a" crashes
+    And "a" is suspected
+    And the replicas are paused
+    And "a" returns as primary "d" at its address
+    Then "d" is primary and the assignment is settled within 4000 ms
+    And no acknowledged commit is lost
+    And commits are acknowledged again
+    And exactly one backend is primary, and no replica is paused
+
+  Scenario: A primary that returns under another name at another address is replaced
+    # guards against a service without a primary for good, since the returned one can't be paused
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "a" crashes, and returns as primary "d" at another address
+    And "a" is suspected
+    Then the assignment is settled on another backend within 6000 ms
+    And no acknowledged commit is lost
+    And commits are acknowledged again
+    And exactly one backend is primary, and no replica is paused
+
+  Scenario Outline: A primary that returns under another name while it is being replaced does not block its replacement: <answer>
+    # guards against a service without a primary for good, since the returned one can't be paused before the promotion
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that <answer> notices of an assignment, and acknowledge commits by their views
+    And proxies report positions 5 beyond what was confirmed
+    And the failover lease is held and the assignment is settled
+    When "a" crashes
+    And "a" is suspected
+    And the assignment is moving
+    And "a" returns as primary "d" at its address
+    Then the assignment is settled on another backend within 6000 ms
+    And no acknowledged commit is lost
+    And commits are acknowledged again
+    And exactly one backend is primary, and no replica is paused
+
+    Examples:
+      | answer        |
+      | answer        |
+      | do not answer |
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -160,6 +160,20 @@
     context.stage.call(call=lambda: context.cluster.send_heartbeat(backend=replica))
 
 
+@when('"{name}" crashes, and returns as primary "{other}" at {place} address')
+@when('"{name}" returns as primary "{other}" at {place} address')
+def when_primary_returns_renamed(context: Any, name: str, other: str, place: str) -> None:
+    """A backend takes over a crashed primary's log, role and term under a new name."""
+    crashed = context.cluster.backends[name]
+    crashed.up = False
+    successor = context.cluster.add_replica(name=other)
+    successor.at, successor.term, successor.heartbeats = crashed.at, crashed.term, True
+    successor.is_primary, crashed.is_primary = True, False
+    if place == "its":
+        successor.address = crashed.address
+    context.stage.call(call=lambda: context.cluster.send_heartbeat(backend=successor))
+
+
 @when('"{name}" receives nothing any more')
 def when_receives_nothing(context: Any, name: str) -> None:
     context.cluster.backends[name].receives = False
--- a/src/cinderstair/failover/primary_replacement.py
+++ b/src/cinderstair/failover/primary_replacement.py
@@ -5,7 +5,7 @@
 from ..membership.heartbeat import READY
 from ..runtime.position import START
 from .move_reason import MoveReason
-from .promotion import Promotion
+from .promotion import FindBackend, Promotion
 from .replica_fencing import ReplicaFencing
 from .service_failover_context import ServiceFailoverContext
 from .service_primary import PrimaryState, ServicePrimary
@@ -26,11 +26,13 @@
         switchover: Switchover,
         fencing: ReplicaFencing,
         promotion: Promotion,
+        find_backend: FindBackend,
     ) -> None:
         self.failover = failover
         self.switchover = switchover
         self.fencing = fencing
         self.promotion = promotion
+        self.find_backend = find_backend
 
     async def replace(self, *, service: Service, assignment: ServicePrimary, reason: MoveReason) -> None:
         """Chooses a successor for a primary that must be replaced, assigns it and promotes it."""
@@ -51,9 +53,7 @@
                 return
             assignment, successor = stepped.assignment, stepped.successor
         else:
-            successor = await self._successor_of_lost(
-                service=service, assignment=assignment, old=old, explanation=explanation
-            )
+            successor = await self._successor_of_lost(service=service, assignment=assignment, explanation=explanation)
         if successor is not None:
             await self._assign(service=service, assignment=assignment, successor=successor, began_us=began_us)
 
@@ -62,12 +62,15 @@
         return [each for each in members if each.name != primary]
 
     async def _successor_of_lost(
-        self, *, service: Service, assignment: ServicePrimary, old: Announcement | None, explanation: str
+        self, *, service: Service, assignment: ServicePrimary, explanation: str
     ) -> Successor | None:
         """The successor of a primary that can't be asked to step down; None if no backend can be chosen yet."""
         others = self._others(service=service.name, primary=assignment.primary)
         replacement = await successor_at_same_address(
-            poller=self.failover.poller, assignment=assignment, old=old, others=others
+            poller=self.failover.poller,
+            assignment=assignment,
+            old=self.find_backend(service=service.name, name=assignment.primary),
+            others=others,
         )
         if replacement is not None:
             return replacement
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -3,10 +3,12 @@
 import asyncio
 from dataclasses import dataclass
 
+from expression import Result
+
 from ..config.service_plan import Service
 from ..membership.announcement import Announcement
 from ..membership.heartbeat import READY
-from ..runtime.errors import ErrorCode
+from ..runtime.errors import CinderstairError, ErrorCode
 from .backend_control import BackendState
 from .deregistrations import Deregistrations
 from .replica_records import ReplicaRecords
@@ -196,17 +198,27 @@
         return UNKNOWN_PAUSE_US if held is None else self.failover.ctx.now_us() - held.since_us
 
     async def _pause(self, *, replicas: list[Announcement], term: int, needed: int) -> dict[str, BackendState]:
-        control = self.failover.control
         return await self.failover.poller.gather(
-            requests={each.name: control.pause(backend=each, term=term, wait_us=PAUSE_WAIT_US) for each in replicas},
+            requests={each.name: self._pause_one(replica=each, term=term) for each in replicas},
             enough=lambda answers: sum(state.term_held == term for state in answers.values()) >= needed,
         )
 
-    async def _pause_doubtful(self, *, replicas: list[Announcement], term: int) -> DoubtfulReplicas:
+    async def _pause_one(self, *, replica: Announcement, term: int) -> Result[BackendState, CinderstairError]:
+        """Pauses a replica; one that calls itself primary, and is not the assigned one, steps down first.
+
+        A primary can't be paused. A crashed primary that has returned under another name still calls itself primary.
+        """
         control = self.failover.control
-        results = await asyncio.gather(
-            *(control.pause(backend=each, term=term, wait_us=PAUSE_WAIT_US) for each in replicas)
-        )
+        state = await control.pause(backend=replica, term=term, wait_us=PAUSE_WAIT_US)
+        if state.is_error() or not state.ok.is_primary:
+            return state
+        stepped = await control.step_down(backend=replica, term=term, wait_us=PAUSE_WAIT_US)
+        if stepped.is_error() or stepped.ok.is_primary:
+            return stepped
+        return await control.pause(backend=replica, term=term, wait_us=PAUSE_WAIT_US)
+
+    async def _pause_doubtful(self, *, replicas: list[Announcement], term: int) -> DoubtfulReplicas:
+        results = await asyncio.gather(*(self._pause_one(replica=each, term=term) for each in replicas))
         answers = list(zip(replicas, results, strict=True))
         return DoubtfulReplicas(
             states={each.name: result.ok for each, result in answers if result.is_ok()},
--- a/src/cinderstair/failover/service_failover.py
+++ b/src/cinderstair/failover/service_failover.py
@@ -140,7 +140,11 @@
             find_backend=self.records.find,
         )
         self.replacement = PrimaryReplacement(
-            failover=failover, switchover=self.switchover, fencing=self.fencing, promotion=self.promotion
+            failover=failover,
+            switchover=self.switchover,
+            fencing=self.fencing,
+            promotion=self.promotion,
+            find_backend=self.records.find,
         )
 
     @property
--- a/src/cinderstair/failover/successor.py
+++ b/src/cinderstair/failover/successor.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from ..membership.announcement import GONE, Announcement
+from ..membership.announcement import Announcement
 from ..membership.heartbeat import READY
 from ..runtime.position import Position
 from .backend_control import BackendState
@@ -40,11 +40,14 @@
 async def successor_at_same_address(
     *, poller: BackendPoller, assignment: ServicePrimary, old: Announcement | None, others: list[Announcement]
 ) -> Successor | None:
-    """The backend that replaced a deregistered primary at its address and is primary with its log; None without one.
+    """The backend that replaced the assigned primary at its address and is primary with its log; None without one.
 
-    Such a backend can't be paused, since it is primary, and need not be, since its log has every acknowledged commit.
+    An address belongs to one process and a term to one primary, so where another backend answers there as primary of
+    the assigned term, the old process has exited, and its log, which has every acknowledged commit, was taken over.
+
+    :param old: what is known of the assigned primary; None for nothing, and then no backend can be found.
     """
-    if old is None or old.state != GONE:
+    if old is None:
         return None
     candidates = [each for each in others if each.address == old.address and each.is_primary and each.state == READY]
     for name, state in (await poller.states(members=candidates)).items():
