PRIMARY: a checker for services without a primary; trials and soak faults with a renamed primary

It runs in every trial of the simulated platform and in the soak. Trials: a primary crashes or loses power and is back within 1.5 s under a new name, with all replicas up, with one down, repeatedly, and beside a kill of all controllers.

--- a/features/simulation/platformsim/platformfaults.feature
+++ b/features/simulation/platformsim/platformfaults.feature
@@ -45,6 +45,12 @@
       | departures_unrecorded       | controllers_killed_primary_leaves                     | 1    | DRAIN | after its draining was acknowledged      |
       | departed_replicas_forgotten | controllers_killed_replica_leaves_primary_partitioned | 5    | LOST  | was promoted without acknowledged commit |
 
+    Examples: a primary is back under another name
+      | fault                       | trial                                      | seed | rule    | words                              |
+      | returned_primary_waited_for | primary_returns_renamed                    | 5    | PRIMARY | no commit of ledger0 was           |
+      | returned_primary_waited_for | primary_returns_renamed_replica_down       | 1    | PRIMARY | no commit of ledger0 was           |
+      | returned_primary_waited_for | primary_returns_renamed_controllers_killed | 5    | PRIMARY | no commit of ledger0 was           |
+
     Examples: statements forwarded between proxies
       | fault                         | trial                  | seed | rule   | words                     |
       | forwards_unchecked            | few_links_frozen       | 7    | LATE   | after its client's answer |
--- a/features/simulation/platformsim/platformsim.feature
+++ b/features/simulation/platformsim/platformsim.feature
@@ -117,6 +117,14 @@
       | trial                                                 | share | last |
       | controllers_killed_replica_leaves_primary_partitioned | 90    | 5    |
 
+    # guards against a service without a primary for good: the returned one can't be paused, and nothing replaces it
+    Examples: a primary is back under another name
+      | trial                                      | share | last |
+      | primary_returns_renamed                    | 90    | 5    |
+      | primary_returns_renamed_replica_down       | 90    | 3    |
+      | primary_returns_renamed_repeatedly         | 90    | 5    |
+      | primary_returns_renamed_controllers_killed | 90    | 5    |
+
   Scenario: Two runs with the same seed have the same result
     When platform trial primary_crash runs with seeds 3 to 3
     Then another run with the same seed has the same result
--- a/src/cinderstair/simulation/platformsim/oracle.py
+++ b/src/cinderstair/simulation/platformsim/oracle.py
@@ -16,6 +16,7 @@
 from .mixed_checker import MixedChecker
 from .one_checker import OneChecker
 from .pinned_checker import PinnedChecker
+from .primary_checker import PrimaryChecker
 from .recover_checker import RecoverChecker
 from .refused_checker import RefusedChecker
 from .route_checker import RouteChecker
@@ -31,6 +32,7 @@
     from .stand_in_service import StandInService
 
 APPLY_US, STEP_BACK_US, DRAIN_US, RECOVERY_US = 3_000_000, 250_000, 6_000_000, 6_000_000
+PRIMARY_RECOVERY_US = 12_000_000
 NOT_EXECUTED_CODES = frozenset(["BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGHOST", "FULL"])
 
 
@@ -59,6 +61,7 @@
         self.cap = CapChecker()
         self.late = LateChecker()
         self.recover = RecoverChecker(recovery_us=RECOVERY_US)
+        self.primary = PrimaryChecker(recovery_us=PRIMARY_RECOVERY_US)
         self.statements: dict[bytes, ClientStatement] = {}
         self.entries_by_commit: dict[bytes, LogEntry] = {}
         self.reached_backend: set[bytes] = set()
--- a/src/cinderstair/simulation/platformsim/platform_trials.py
+++ b/src/cinderstair/simulation/platformsim/platform_trials.py
@@ -15,6 +15,7 @@
     forgotten_replica_trials,
     machine_trials,
     mixed_trials,
+    renamed_primary_trials,
     shard_trials,
 )
 from .oracle import DRAIN_US
@@ -96,6 +97,10 @@
             drain_us=LONG_DRAIN_US,
         ),
         Trial(forgotten_replica_trials.controllers_killed_primary_leaves, ("LOST", "DRAIN")),
+        Trial(renamed_primary_trials.primary_returns_renamed),
+        Trial(renamed_primary_trials.primary_returns_renamed_replica_down),
+        Trial(renamed_primary_trials.primary_returns_renamed_repeatedly),
+        Trial(renamed_primary_trials.primary_returns_renamed_controllers_killed),
         Trial(machine_trials.controller_killed),
         Trial(machine_trials.heartbeats_lost),
         Trial(machine_trials.controller_wiped),
--- a/src/cinderstair/simulation/platformsim/platform_world.py
+++ b/src/cinderstair/simulation/platformsim/platform_world.py
@@ -499,10 +499,10 @@
         if not backend.up:
             self.start_backend(backend=backend)
 
-    def crash_and_rename(self, *, backend: StandInBackend, restart_us: int) -> None:
-        """A backend crashes, and a new one starts at its address with its log and its role."""
+    def crash_and_rename(self, *, backend: StandInBackend, restart_us: int, power_loss: bool = False) -> None:
+        """A backend crashes or loses power, and a new one starts at its address with its log and its role."""
         self.begin_disruption(name=backend.name, for_us=0)
-        backend.crash()
+        backend.crash(power_loss=power_loss)
 
         async def renamed() -> None:
             await asyncio.sleep(restart_us / 1_000_000)
@@ -607,6 +607,8 @@
         while True:
             for service in self.services.values():
                 service.on_timer()
+            if self.clients and not self.clients[0].stopped:
+                self.oracle.primary.observe(world=self)
             await asyncio.sleep(TIMER_PERIOD_S)
 
     def serves(self) -> bool:
--- a/src/cinderstair/simulation/platformsim/replica_record_bugs.py
+++ b/src/cinderstair/simulation/platformsim/replica_record_bugs.py
@@ -1,8 +1,10 @@
-"""Bugs in the record of each service's backends; see `seeded_bugs`."""
+"""Bugs in the record of each service's backends, and in what a fence counts; see `seeded_bugs`."""
 
 from typing import Any
 from unittest.mock import patch
 
+from ...failover import primary_replacement
+from ...failover.replica_fencing import PAUSE_WAIT_US, ReplicaFencing
 from ...failover.replica_records import ReplicaRecords
 from ...failover.successor_check import SuccessorCheck
 
@@ -38,3 +40,18 @@
         patch.object(SuccessorCheck, "_lacks_commits", lambda self, **named: False),
         patch.object(SuccessorCheck, "_returned_primary", no_primary),
     ]
+
+
+def returned_primary_waited_for() -> Patches:
+    """A primary that is back under another name counts as a replica, which can't be paused while it is primary."""
+
+    async def none_found(**named: Any) -> None:
+        return None
+
+    async def pause(self: Any, *, replica: Any, term: int) -> Any:
+        return await self.failover.control.pause(backend=replica, term=term, wait_us=PAUSE_WAIT_US)
+
+    return [
+        patch.object(primary_replacement, "successor_at_same_address", none_found),
+        patch.object(ReplicaFencing, "_pause_one", pause),
+    ]
--- a/src/cinderstair/simulation/soak/soak_faults.py
+++ b/src/cinderstair/simulation/soak/soak_faults.py
@@ -17,6 +17,10 @@
 MAX_SERIES_PAUSE_MS = 900
 # The share of its answers that a backend loses.
 ANSWERS_LOST_SHARE = 0.05
+# The share of crashes in which a backend's machine loses power, so that its peers get no reset.
+POWER_LOSS_SHARE = 0.3
+# How long a primary can't be reached by the controllers after a replica of its service has left, in milliseconds.
+PRIMARY_PARTITION_MS = 5_000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -99,9 +103,12 @@
             self.crash_primary,
             self.crash_replica,
             self.crash_replica,
-            self.rename_backend,
+            self.rename_replica,
+            self.rename_primary,
             self.release,
             self.release,
+            self.kill_controllers_after_departure,
+            self.partition_leaving_replica,
             self.interrupt_replication,
             self.interrupt_replication,
             self.delay_heartbeats,
@@ -214,7 +221,7 @@
         if backend is None:
             return
         self._record(kind=kind, target=backend.name)
-        power_loss = self.rng.random() < 0.3
+        power_loss = self.rng.random() < POWER_LOSS_SHARE
         self.world.crash(backend=backend, power_loss=power_loss, restart_us=self.rng.randrange(300_000, 5_000_000))
 
     def crash_primary(self) -> None:
@@ -225,25 +232,73 @@
         """A replica crashes or loses power, and returns with its log."""
         self._crash(backend=self._backend(primary=False), kind="crash replica")
 
-    def rename_backend(self) -> None:
-        """A replica crashes, and returns with its log under a new name."""
-        backend = self._backend(primary=False)
+    def _rename(self, *, backend: StandInBackend | None, kind: str) -> None:
         if backend is not None:
-            self._record(kind="rename", target=backend.name)
-            self.world.crash_and_rename(backend=backend, restart_us=self.rng.randrange(200_000, 3_000_000))
+            self._record(kind=kind, target=backend.name)
+            power_loss = self.rng.random() < POWER_LOSS_SHARE
+            restart_us = self.rng.randrange(50_000, 3_000_000)
+            self.world.crash_and_rename(backend=backend, restart_us=restart_us, power_loss=power_loss)
 
-    def release(self) -> None:
-        """A backend leaves as planned and is replaced, one of a service at a time."""
-        apart = [
+    def rename_replica(self) -> None:
+        """A replica crashes or loses power, and returns with its log under a new name."""
+        self._rename(backend=self._backend(primary=False), kind="rename replica")
+
+    def rename_primary(self) -> None:
+        """A primary crashes or loses power, and returns with its log under a new name."""
+        self._rename(backend=self._backend(primary=True), kind="rename primary")
+
+    def _complete(self) -> list[StandInBackend]:
+        """The backends of services whose backends all run, and of which none leaves."""
+        return [
             each
             for each in self._backends()
             if all(other.up and not other.draining for other in each.service.backends.values())
         ]
-        if apart:
-            backend = self.rng.choice(apart)
+
+    def release(self) -> None:
+        """A backend leaves as planned and is replaced, one of a service at a time."""
+        complete = self._complete()
+        if complete:
+            backend = self.rng.choice(complete)
             self._record(kind="release", target=backend.name)
             self.world.release(backend=backend, deregister_first=self.rng.random() < 0.5)
 
+    def _deregister_replica(self, *, kind: str) -> StandInBackend | None:
+        """A replica deregisters first and serves on; None where no service is complete."""
+        replicas = [each for each in self._complete() if not each.is_primary]
+        if not replicas:
+            return None
+        backend = self.rng.choice(replicas)
+        self._record(kind=kind, target=backend.name)
+        self.world.release(backend=backend, deregister_first=True)
+        return backend
+
+    def kill_controllers_after_departure(self) -> None:
+        """All controllers are killed after a replica has left; then they can't reach the primary."""
+        leaving = self._deregister_replica(kind="departure before a kill of all controllers")
+        if leaving is None:
+            return
+        self._at(in_ms=500, call=self.kill_all_controllers)
+        self._at(
+            in_ms=self.rng.randrange(2_000, 5_000),
+            call=lambda: self._partition_from_controllers(backend=leaving.service.primary),
+        )
+
+    def partition_leaving_replica(self) -> None:
+        """The controllers can't reach a leaving replica for two seconds, and then the primary."""
+        leaving = self._deregister_replica(kind="departure before a partition")
+        if leaving is None:
+            return
+        self._at(in_ms=300, call=lambda: self._partition_from_controllers(backend=leaving, for_ms=2_000))
+        self._at(in_ms=2_800, call=lambda: self._partition_from_controllers(backend=leaving.service.primary))
+
+    def _partition_from_controllers(
+        self, *, backend: StandInBackend | None, for_ms: int = PRIMARY_PARTITION_MS
+    ) -> None:
+        self._partition(
+            backend=backend, others=list(self.world.controllers), kind="partition from controllers", for_ms=for_ms
+        )
+
     def interrupt_replication(self) -> None:
         """A replica receives nothing for a while."""
         backend = self._backend(primary=False)
@@ -265,13 +320,16 @@
         sender.silent = True
         self._at(in_ms=self.rng.randrange(500, 6_000), call=lambda: setattr(sender, "silent", False))
 
-    def _partition(self, *, backend: StandInBackend | None, others: list[str], kind: str) -> None:
+    def _partition(
+        self, *, backend: StandInBackend | None, others: list[str], kind: str, for_ms: int | None = None
+    ) -> None:
+        """Partitions a backend from others, for a random time if none is given."""
         if backend is None or not others:
             return
         self._record(kind=kind, target=f"{backend.name} from {', '.join(others)}")
         self.world.partition(ones=[backend.name], others=others)
         self.partitions += 1
-        self._at(in_ms=self.rng.randrange(500, 6_000), call=self._heal_one)
+        self._at(in_ms=for_ms or self.rng.randrange(500, 6_000), call=self._heal_one)
 
     def _heal_one(self) -> None:
         """Ends all partitions together with the last one."""
--- a/src/cinderstair/simulation/soak/soak_report.py
+++ b/src/cinderstair/simulation/soak/soak_report.py
@@ -24,7 +24,7 @@
 
     :param command: plays the run again.
     :param breaches: broken rules, processes that ended by themselves, limits that were exceeded.
-    :param without_primary: services whose last primary does not serve at the end; reported, no rule by itself.
+    :param without_primary: services whose last primary does not run at the end; the rule PRIMARY judges commits.
     """
 
     command: str
