A departure that the record dropped, or whose process has exited since, no longer blocks a failover

Cause: which departures are settled was known to the lease holder alone. A replica that was taken for exited because nobody reached it was never looked at again, and stayed on record, so that it counted in full after a restart of the controllers. Change: a deregistered backend counts while the record names it, or for 5 s after it was heard, so that a departure can be recorded. Replicas that were only unreachable are probed again. The assigned primary stays on record. Why it is safe: a deregistration is acknowledged once the register holds it, and only the lease holder removes one, after the process has exited and another replica has all that it confirmed; a lease holder acts on a view read after it got the lease. An entry at the address of a backend that is heard still doesn't count twice.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -376,6 +376,43 @@
       | 2     | 1       | no   |
       | 0     | 0       | no   |
 
+  Scenario Outline: A deregistration that an earlier lease holder settled does not block the next one's failover: killed <moment>
+    # guards against a service without a primary, since the next holder waits for a replica whose process has exited
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that do not answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    And another controller competes for the failover lease
+    When "c" deregisters, and exits
+    And the controllers run for 7000 ms
+    And "a" crashes
+    And "a" is suspected
+    And the holder of the failover lease is killed <moment>
+    Then "b" is primary and the assignment is settled within 8000 ms
+    And no acknowledged commit is lost
+
+    Examples:
+      | moment                        |
+      | when the replicas are paused  |
+      | when the assignment is moving |
+
+  Scenario: A replica that left, was unreachable, and has exited since does not block failover after a restart of all controllers
+    # guards against a service without a primary, since the exit of a replica that was taken for exited is never looked for
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that do not answer notices of an assignment, and acknowledge commits by their views
+    And 0 of 2 other controllers reach the backend
+    And the failover lease is held and the assignment is settled
+    When "c" deregisters, and keeps serving
+    And "c" is unreachable to the controllers
+    And the controllers run for 2000 ms
+    Then the deregistration of "c" is settled: yes
+    When "c" is reachable to the controllers
+    And "c" ends
+    And the controllers run for 1500 ms
+    And "a" crashes
+    And all controllers are restarted
+    Then "b" is primary and the assignment is settled within 12000 ms
+    And no acknowledged commit is lost
+
   Scenario: A deregistered replica that still confirms commits is fenced with the others
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
     And "c" is 40 positions behind
@@ -760,6 +797,19 @@
     And exactly one backend is primary, and no replica is paused
     And no controller has crashed
 
+  Scenario: A primary that returned under another name before all controllers were restarted serves again
+    # guards against a service without a primary, since nobody remembers the address of the assigned one
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And "c" can't be paused
+    And the failover lease is held and the assignment is settled
+    When "a" crashes, and returns as primary "d" at its address
+    And the controllers run for 500 ms
+    And all controllers are restarted
+    Then "d" is primary and the assignment is settled within 12000 ms
+    And no acknowledged commit is lost
+    And commits are acknowledged again
+
   Scenario: A primary that returns under another name after replicas were paused serves again, and they are resumed
     # guards against replicas that stay paused, where the fence was not complete when the primary returned
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
--- a/src/cinderstair/failover/deregistrations.py
+++ b/src/cinderstair/failover/deregistrations.py
@@ -61,7 +61,11 @@
 
     def unsettled(self, *, service: str) -> list[Announcement]:
         """The deregistered replicas whose logs may still be needed."""
-        return [each for each in self.members.deregistered(service=service) if each.name not in self.settled]
+        return [
+            each
+            for each in self.members.deregistered(service=service)
+            if each.name not in self.settled and self.records.keeps_departure(service=service, name=each.name)
+        ]
 
     def presumed_exited(self, *, service: str) -> list[Announcement]:
         """The settled replicas of which it is not certain that they have exited."""
@@ -83,7 +87,7 @@
             return
         departed = [each for each in self.unsettled(service=service) if each.name != primary.name]
         unheard = [each for each in self.records.unheard(service=service) if each.announcement.name != primary.name]
-        if departed or unheard:
+        if departed or unheard or self.presumed_exited(service=service):
             self.settling.add(service)
             work = self._settle(
                 service=service, departed=departed, unheard=unheard, primary=primary, replicas=replicas
@@ -100,6 +104,7 @@
         replicas: list[Announcement],
     ) -> None:
         try:
+            await self._confirm_exits(service=service)
             settled = await self._settle_departed(
                 service=service, departed=departed, primary=primary, replicas=replicas
             )
@@ -111,6 +116,13 @@
         finally:
             self.settling.discard(service)
 
+    async def _confirm_exits(self, *, service: str) -> None:
+        """Probes the replicas that were only unreachable again; one that has exited need not be asked any more."""
+        for backend in self.presumed_exited(service=service):
+            state = await self.control.state(backend=backend, wait_us=PROBE_WAIT_US)
+            if state.is_error() and state.error.details.get("ended"):
+                self.unreachable.discard(backend.name)
+
     async def _settle_departed(
         self, *, service: str, departed: list[Announcement], primary: Announcement, replicas: list[Announcement]
     ) -> bool:
--- a/src/cinderstair/failover/replica_records.py
+++ b/src/cinderstair/failover/replica_records.py
@@ -22,6 +22,9 @@
 )
 from .service_members import FORGET_US, ServiceMembers
 
+# How long a deregistration that was heard may take to be recorded, in microseconds.
+RECORD_WAIT_US = 5_000_000
+
 
 @dataclass(frozen=True, kw_only=True)
 class UnheardReplica:
@@ -115,11 +118,30 @@
         self.writing.add(service)
         self.ctx.spawn(work=self._write(service=service, new=new), name="replicas.record")
 
+    def keeps_departure(self, *, service: str, name: str) -> bool:
+        """Whether a deregistered backend is on record, or may not be recorded yet.
+
+        One that the record does not name any more was settled, possibly by an earlier lease holder.
+        """
+        recorded = any(each.name == name for each in self._entries(service=service))
+        return recorded or self.members.heartbeat_table.age_us(name=name) < RECORD_WAIT_US
+
     def _wanted(self, *, service: str, primary: str, settled: frozenset[str]) -> RecordedReplicas:
         listed = self.members.of_service(service=service)
-        departed = [each for each in self.members.deregistered(service=service) if each.name not in settled]
+        departed = [
+            each
+            for each in self.members.deregistered(service=service)
+            if each.name not in settled and self.keeps_departure(service=service, name=each.name)
+        ]
+        # The assigned primary's address tells which backend has taken over its log, also after all controllers
+        # have restarted.
+        assigned = [
+            _announcement(service=service, entry=each)
+            for each in self._entries(service=service)
+            if each.name == primary
+        ]
         unheard = [each.announcement for each in self.unheard(service=service)]
-        known = {each.name: each for each in (*unheard, *listed, *departed)}
+        known = {each.name: each for each in (*assigned, *unheard, *listed, *departed)}
         entries = (
             RecordedReplica(name=name, address=each.address, is_primary=name == primary, departed=each.state == GONE)
             for name, each in sorted(known.items())
--- a/src/cinderstair/simulation/platformsim/platform_world.py
+++ b/src/cinderstair/simulation/platformsim/platform_world.py
@@ -496,9 +496,13 @@
     async def _return_later(self, *, backend: StandInBackend, wait_us: int) -> None:
         await asyncio.sleep(wait_us / 1_000_000)
         backend.restore_power()
-        if not backend.up:
+        if self._is_down(backend=backend):
             self.start_backend(backend=backend)
 
+    def _is_down(self, *, backend: StandInBackend) -> bool:
+        """Whether a backend does not run, and no other one has replaced it."""
+        return not backend.up and backend.service.backends.get(backend.name) is backend
+
     def crash_and_rename(self, *, backend: StandInBackend, restart_us: int, power_loss: bool = False) -> None:
         """A backend crashes or loses power, and a new one starts at its address with its log and its role."""
         self.begin_disruption(name=backend.name, for_us=0)
@@ -506,7 +510,7 @@
 
         async def renamed() -> None:
             await asyncio.sleep(restart_us / 1_000_000)
-            if not backend.up:
+            if self._is_down(backend=backend):
                 self._replace(backend=backend, keeps_log=True)
 
         self.fabric.call(renamed())
@@ -529,7 +533,8 @@
         async def replaced() -> None:
             await self.senders[backend.name].drain_and_exit(deregister_first=deregister_first)
             await asyncio.sleep(restart_us / 1_000_000)
-            self._replace(backend=backend, keeps_log=False)
+            if self._is_down(backend=backend):
+                self._replace(backend=backend, keeps_log=False)
 
         self.fabric.call(replaced())
 
