--- a/src/cinderstair/simulation/soak/soak_report.py
+++ b/src/cinderstair/simulation/soak/soak_report.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from .soak_faults import InjectedFault
+from .fault_schedule import InjectedFault
 
 MAX_LINES = 20
 
