--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -413,6 +413,20 @@
     Then "b" is primary and the assignment is settled within 12000 ms
     And no acknowledged commit is lost
 
+  Scenario: A replica that left and exited while its primary was lost does not delay the failover beyond the recovery time
+    # guards against a service without a primary for 25 s, since a replica that has exited is waited for
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "c" deregisters, and keeps serving
+    And the controllers run for 300 ms
+    And "a" crashes
+    And "c" ends
+    And an empty replica "d" takes the address of "c"
+    And "a" is suspected
+    Then "b" is primary and the assignment is settled within 12000 ms
+    And no acknowledged commit is lost
+
   Scenario: A deregistered replica that still confirms commits is fenced with the others
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
     And "c" is 40 positions behind
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -174,6 +174,14 @@
     context.stage.call(call=lambda: context.cluster.send_heartbeat(backend=successor))
 
 
+@when('an empty replica "{other}" takes the address of "{name}"')
+def when_replaced_empty(context: Any, other: str, name: str) -> None:
+    """A planned replacement of a replica begins without a log."""
+    replica = context.cluster.add_replica(name=other)
+    replica.at, replica.address, replica.heartbeats = Position(0, 0), context.cluster.backends[name].address, True
+    context.stage.call(call=lambda: context.cluster.send_heartbeat(backend=replica))
+
+
 @when('"{name}" receives nothing any more')
 def when_receives_nothing(context: Any, name: str) -> None:
     context.cluster.backends[name].receives = False
