--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,77 +1,90 @@
-"""LOST: statements of open transactions are cut when a proxy that got SIGTERM exits.
+"""RECOVER: a replica that left and exited is waited for, while its primary is lost for good: no primary for 25 s.
 
-Clients read in transactions of twelve statements with pauses. One of two proxies gets SIGTERM. A transaction that runs
-a statement at half of grace_s is not ended then, nor later: it goes on until the process exits, in the middle of a
-statement. With TROUBLE=0 no process is stopped.
+A replica is replaced as planned: its replacement starts, it deregisters, serves on for its drain time and ends. The
+primary is lost for good at that moment. Then comes the closing fault: all processes are killed. Two backends run, and have
+every commit. With TROUBLE=0 the primary is not lost; the rest is the same.
 """
 
 import asyncio
 import random
 import signal
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand_ins_2"))
 
 from world import BOUNDS, CannotRun, Session, run  # noqa: E402
 
-# work of a read: the largest of the site's reads
-WORK_S = 0.1
-SESSIONS = 10
-# when the statements are sent, from the SIGTERM on; the last ones follow one another
-AT_S = (0.6, 1.6, 2.2, 2.94, 3.6, 4.3, 4.9)
-LAST_FROM_S, LAST = 5.2, 5
+DOWN_S = 1.2
+JUDGED_S = 10.0
+LONGER_S = 1.2
 
 
-async def transact(world, *, number, address, began, cut):
+async def use(world, *, number, requests, stop):
+    """A client with long sessions that reads and writes on a `primary` route; another session after a close."""
     session = Session(world=world, who=f"client-{number}")
-    if not await session.open(address=address, database="tables"):
-        raise CannotRun("no session")
-    _, answer = await session.ask(text=b"BEGIN FETCH")
-    at = await began
-    times = [*(at + each for each in AT_S), *[at + LAST_FROM_S] * LAST]
-    for sent_at in times:
-        await asyncio.sleep(max(0.0, sent_at + 0.006 * number - time.monotonic()))
-        sent = time.monotonic() - at
-        ident, answer = await session.ask(text=b"FETCH k%d" % random.randrange(200))
-        if answer.lost:
-            cut.append((session.who, ident, sent, time.monotonic() - at))
-            return
-        if answer.code:
-            # the system has ended the transaction, with an answer
-            await session.ask(text=b"UNDO")
-            session.close()
-            return
-    await session.ask(text=b"COMMIT")
-    session.close()
+    while not stop.is_set():
+        sent, served = world.record.now(), False
+        if session.is_open or await session.open(address=world.front(), database="trades"):
+            writes = random.random() < 0.35
+            text = b"PUT k%d %08x" if writes else b"FETCH k%d"
+            values = (random.randrange(200), random.getrandbits(32))
+            _, answer = await session.ask(text=text % (values if writes else values[:1]))
+            served = not answer.lost and not answer.code
+        requests.append((sent, served))
+        await asyncio.sleep(random.uniform(0.05, 0.15))
 
 
 async def play(world, trouble):
-    service = world.add_service(name="huvo11a", databases={"tables": ("recent_enough", 1500)})
-    for backend in service.backends.values():
-        backend.work_s = WORK_S
+    service = world.add_service(name="huvo11a", databases={"trades": ("primary", 0)})
     await world.begin()
-    began, cut = asyncio.get_running_loop().create_future(), []
-    name = world.proxies[0]
-    tasks = [
-        world.spawn(transact(world, number=number, address=world.at(name, 8784), began=began, cut=cut))
-        for number in range(SESSIONS)
-    ]
-    await asyncio.sleep(BOUNDS["quiet_ms"] / 1000 - 2.0)
+    requests, stop = [], asyncio.Event()
+    for number in range(12):
+        world.spawn(use(world, number=number, requests=requests, stop=stop))
+
+    def share(since, until):
+        found = [served for sent, served in requests if since <= sent < until]
+        return (sum(found) / len(found) if found else 0.0), len(found)
+
+    await asyncio.sleep(3.0)
+    primary = service.leader()
+    leaving = next(each for each in service.backends.values() if each is not primary)
+    fresh = world.new_backend(service=service, zone=leaving.zone)
+    await fresh.start()
+    await asyncio.sleep(3.0)
+    # never says `emptying`: DELETE first, serves on as long, and ends
+    leaving.beats = False
+    if not await leaving.call(method="DELETE"):
+        raise CannotRun("the DELETE is not acknowledged")
+    world.record.say(leaving.name, "has deregistered, and serves on")
+    await asyncio.sleep(BOUNDS["drain_ms"] / 1000 + LONGER_S)
     if trouble:
-        world.signal(name, signal.SIGTERM)
-    began.set_result(time.monotonic())
-    await asyncio.wait(tasks)
-    for task in tasks:
-        if task.exception() is not None:
-            raise task.exception()
-    breaks = []
-    for who, ident, sent, closed in cut:
-        handed = any(ident.decode() in line and " gets " in line for line in world.lines())
-        if handed and sent > 3.0 and closed <= BOUNDS["grace_s"] + 1.0:
-            breaks.append(f"{who}: {ident.decode()} was sent {sent:.3f} s after SIGTERM, handed on, and cut at {closed:.3f} s")
-    return breaks
+        primary.crash()
+    leaving.crash()
+    await asyncio.sleep(0.3)
+    await world.configure()
+    closing = world.record.now()
+    before = share(0.0, closing)
+    world.record.say("the closing fault: all processes are killed; served before: %.2f of %d" % before)
+    for name in [*world.controllers, *world.proxies]:
+        world.signal(name, signal.SIGKILL)
+        world.children[name].wait()
+    await asyncio.sleep(DOWN_S)
+    for name in [*world.controllers, *world.proxies]:
+        world.start_process(name)
+    back = world.record.now()
+    await asyncio.sleep(BOUNDS["recovery_s"] + JUDGED_S)
+    after = share(back + BOUNDS["recovery_s"], back + BOUNDS["recovery_s"] + JUDGED_S - 2.0)
+    world.record.say("served of those sent more than recovery_s after the machines are back: %.2f of %d" % after)
+    for second in range(0, int(BOUNDS["recovery_s"] + JUDGED_S), 4):
+        world.record.say(f"{second} to {second + 4} s after: served %.2f of %d" % share(back + second, back + second + 4))
+    stop.set()
+    await asyncio.sleep(1.0)
+    if before[0] < 0.25 or after[1] < 20:
+        raise CannotRun("too little was served or asked")
+    if after[0] < 0.25:
+        return [f"{after[0]:.2f} of {after[1]} requests are served after the closing fault, {before[0]:.2f} before"]
+    return []
 
 
-run(folder=Path(__file__).resolve().parent, play=play, proxies=2)
+run(folder=Path(__file__).resolve().parent, play=play)
