--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,7 @@
 """LOST: a replica that has just started confirms commits; the primary crashes before its first beat is heard.
 
-A replacement starts as planned, and its beats come seconds late. The two other replicas receive nothing for a while,
-and the primary crashes meanwhile. With TROUBLE=0 the replacement starts too, and nothing else happens.
+A primary is cut off from its replicas for five seconds. The replacement of one of them starts as planned, and its first
+beat comes three seconds late. The primary crashes meanwhile. With TROUBLE=0 only the replacement starts, with beats in time.
 """
 
 import asyncio
@@ -13,8 +13,7 @@
 
 from world import PROMOTE_S, Session, run  # noqa: E402
 
-LATE_BEAT_S = 3.0
-ALONE_S = 1.0
+CUT_S, LATE_BEAT_S, ALONE_S, CRASH_S = 5.0, 3.0, 1.0, 7.0
 
 
 async def write(world, *, number, stop):
@@ -51,23 +50,27 @@
     await world.until(lambda: len(world.acked) > 50, within_s=10, what="writes are acknowledged")
     primary = service.leader()
     others = [each for each in service.backends.values() if each is not primary]
-    world.record.say("the replacement of a replica starts", "and its beats come late" if trouble else "")
+    cut = world.record.now()
+    if trouble:
+        world.record.say("the primary is cut off from its replicas")
+        for each in others:
+            each.receives = False
+        await asyncio.sleep(0.5)
+    world.record.say("the replacement of a replica starts", "and its first beat comes late" if trouble else "")
     fresh = world.new_backend(service=service, zone=others[0].zone)
     fresh.beats = not trouble
     await fresh.start()
     await world.until(lambda: len(fresh.log) == len(primary.log), within_s=3, what="the replacement has the log")
-    if trouble:
-        asyncio.get_running_loop().call_later(LATE_BEAT_S, setattr, fresh, "beats", True)
-        world.record.say("the other replicas receive nothing")
-        for each in others:
-            each.receives = False
     await asyncio.sleep(ALONE_S)
     if trouble:
+        asyncio.get_running_loop().call_later(LATE_BEAT_S - ALONE_S, setattr, fresh, "beats", True)
         primary.crash()
-        asyncio.get_running_loop().call_later(7.0, lambda: world.spawn(primary.start()))
-        await asyncio.sleep(6.0)
+        asyncio.get_running_loop().call_later(CRASH_S, lambda: world.spawn(primary.start()))
+        await asyncio.sleep(cut + CUT_S - world.record.now())
         for each in others:
             each.receives = True
+        world.record.say("the cut has ended")
+        await asyncio.sleep(4.0)
     await asyncio.sleep(6.0)
     stop.set()
     await asyncio.sleep(2 * PROMOTE_S)
--- a/review/stand_ins_2/world.py
+++ b/review/stand_ins_2/world.py
@@ -579,7 +579,7 @@
     def __init__(self, *, folder, controllers=3, proxies=3, proxy_zones=tuple(ZONES)):
         self.record = Record(path=Path(folder) / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="cinderstair-review-"))
-        self.byte = self._free_network()
+        self.byte, self.guard = self._free_network()
         self.controllers = [f"core-{n}" for n in range(controllers)]
         self.proxies = [f"edge-{n}" for n in range(proxies)]
         self.addresses, self.zones, self.children, self.logs = {}, {}, {}, {}
@@ -599,14 +599,18 @@
 
     @staticmethod
     def _free_network():
+        """The second byte of a loopback network that no other run uses, and the socket that keeps others away."""
         for _ in range(50):
             byte = random.randrange(20, 250)
+            guard = socket.socket()
             try:
                 with socket.socket() as probe:
                     probe.bind((f"127.{byte}.1.10", 8782))
-                return byte
+                guard.bind((f"127.{byte}.0.1", 8700))
+                guard.listen()
+                return byte, guard
             except OSError:
-                continue
+                guard.close()
         raise CannotRun("no free loopback network")
 
     def add_host(self, *, name, zone):
@@ -735,7 +739,7 @@
                 self.record.say("platform: POST /promotion of", call["server_id"], "arrives, and is slow")
                 await asyncio.sleep(self.platform_takes_s)
             status = 200 if backend is not None and backend.up else 409
-            self.record.say("platform: POST /promotion of", call["server_id"], "->", status)
+            (self.record.say if status == 200 else self.record.note)("platform: POST /promotion of", call["server_id"], "->", status)
             self.promotions.append(call["server_id"])
             if status == 200 and not (backend.role == "primary" and backend.term == backend.service.term):
                 asyncio.get_running_loop().call_later(PROMOTE_S, self._promote, backend)
@@ -800,6 +804,7 @@
         for task in list(self.tasks):
             task.cancel()
         await asyncio.sleep(0)
+        self.guard.close()
         self.record.file.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
