--- a/features/compatibility/record_format.feature
+++ b/features/compatibility/record_format.feature
@@ -5,7 +5,7 @@
 
   Scenario: Values of all types are decoded from and encoded to the recorded bytes
     Given the recorded examples
-    Then there is one for each example of the tests, 56 in all
+    Then there is one for each example of the tests, 57 in all
     And each recorded example is decoded to the value of its example
     And each recorded example, decoded and encoded again, has the same bytes
     And each example's value is encoded to the recorded bytes
--- a/features/control_plane/proxy_notifier.feature
+++ b/features/control_plane/proxy_notifier.feature
@@ -10,6 +10,33 @@
     And p1 and p2 confirm no primary, and acknowledge 3.8 but not 3.9
     And the notice took at most 30 ms
 
+  Scenario Outline: The commits of all proxies are counted to tell how far the last acknowledged one is at least
+    # guards against a successor without acknowledged commits, which the end of the old log alone does not show
+    Given p1 acknowledges 3.20 for commits that were sent after <first>
+    And p2 acknowledges 3.20 for commits that were sent after <second>
+    When c1 assigns "b" without a fence and notifies the proxies
+    Then the last acknowledged commit is at least 3.<least>
+
+    Examples:
+      | first           | second    | least | # reason                                               |
+      | 3.10            | 3.10      | 12    | two commits after 3.10                                 |
+      | 3.10, 3.10, 3.9 | 3.10      | 13    | three after 3.10; four after 3.9                       |
+      | 3.10, 3.11      | 3.2, 3.12 | 13    | one after 3.12, two after 3.11, three after 3.10       |
+      | 3.2             | 2.70      | 3     | a position of a newer term is after all of older terms |
+
+  Scenario Outline: After a promotion the last acknowledged commit is known to be at least <least>
+    # guards against waiting for commits that a promotion lost, and against forgetting those that it kept
+    Given p1 acknowledges 3.20 for commits that were sent after 3.10, 3.11
+    When c1 assigns "b" with fence <fence> and notifies the proxies
+    And the assignment of "b" is settled, and c1 assigns "c" without a fence and notifies the proxies
+    Then the last acknowledged commit is at least <least>
+    And the proxies have acknowledged up to <most>
+
+    Examples:
+      | fence | least | most |
+      | 3.20  | 3.12  | 3.20 |
+      | 3.11  | 3.11  | 3.11 |
+
   Scenario: A controller relays the assignment once it has answered, also to a proxy that asks it later
     When c1 assigns "b" with fence 3.8 and notifies the proxies
     And the proxy p3 starts at c2
--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -494,6 +494,29 @@
     And "d" is primary and the assignment is settled within 4000 ms
     And no acknowledged commit is lost
 
+  Scenario Outline: Commits acknowledged before a primary crashed, which no known replica has, are waited for: <whom> has them
+    # guards against a promotion without commits that were acknowledged before the replicas were paused
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "b" receives nothing any more
+    And "c" receives nothing any more
+    And replica "d" starts, and its heartbeats reach the lease holder only after <late> ms
+    And the controllers run for 1000 ms
+    And "a" crashes
+    And "a" is suspected
+    And the controllers run for 1500 ms
+    Then the promotions requested were "none"
+    When <event>
+    Then "<whom>" is primary and the assignment is settled within 4000 ms
+    And no acknowledged commit is lost
+    And no controller has crashed
+
+    Examples:
+      | whom | late  | event                         |
+      | d    | 4000  | the controllers run for 0 ms  |
+      | a    | 60000 | "a" is restarted              |
+
   Scenario: A primary that returns while a replica that confirmed commits is unknown keeps its commits
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
     And proxies that answer notices of an assignment, and acknowledge commits by their views
--- a/features/simulation/platformsim/platformfaults.feature
+++ b/features/simulation/platformsim/platformfaults.feature
@@ -45,6 +45,10 @@
       | departures_unrecorded       | controllers_killed_primary_leaves                     | 1    | DRAIN | after its draining was acknowledged      |
       | departed_replicas_forgotten | controllers_killed_replica_leaves_primary_partitioned | 5    | LOST  | was promoted without acknowledged commit |
 
+    Examples: acknowledged commits that no known replica has
+      | fault                        | trial                            | seed | rule | words                                    |
+      | commits_before_pause_ignored | unheard_replica_at_primary_crash | 1    | LOST | was promoted without acknowledged commit |
+
     Examples: a primary is back under another name
       | fault                       | trial                                      | seed | rule    | words                              |
       | returned_primary_waited_for | primary_returns_renamed                    | 5    | PRIMARY | no commit of ledger0 was           |
--- a/features/simulation/platformsim/platformsim.feature
+++ b/features/simulation/platformsim/platformsim.feature
@@ -35,10 +35,11 @@
       | platform_unavailable                    | 90    | 1    |
 
     Examples: a replica begins to confirm commits of a primary that the controllers can't reach
-      | trial                         | share | last |
-      | replica_joins_during_failover | 93    | 3    |
-      | replica_joins_before_failover | 93    | 4    |
-      | paused_replica_restarts       | 93    | 6    |
+      | trial                            | share | last |
+      | replica_joins_during_failover    | 93    | 3    |
+      | replica_joins_before_failover    | 93    | 4    |
+      | unheard_replica_at_primary_crash | 90    | 5    |
+      | paused_replica_restarts          | 93    | 6    |
 
     Examples: all controllers restart, and have not heard of the replica with the newest commits when the primary crashes
       | trial                             | share | last |
--- a/features/steps/cluster_stage.py
+++ b/features/steps/cluster_stage.py
@@ -232,7 +232,7 @@
         await asyncio.sleep(NOTICE_US / 1_000_000)
         self.proxies_notified += 1
         reported = Position(self.acknowledged.term, self.acknowledged.number + self.reported_beyond)
-        return AcknowledgedCommits(position=reported, last_us=self.acknowledged_us)
+        return AcknowledgedCommits(position=reported, last_us=self.acknowledged_us, least=self.acknowledged)
 
     def add_replica(self, *, name: str) -> SimulatedBackend:
         """Starts a replica that has the primary's log and receives what follows; it sends no heartbeats yet."""
--- a/features/steps/proxy_notifier_steps.py
+++ b/features/steps/proxy_notifier_steps.py
@@ -4,9 +4,10 @@
 from dataclasses import replace
 from typing import Any
 
-from behave import given, then, when
+from behave import given, register_type, then, when
 from cluster_stage import FakeMembership, FakeRegister, new_stage
 from expression import Error, Ok, Result
+from parse import with_pattern
 from stage import SITE, position, position_text
 
 from cinderstair.consensus.ballot import Ballot
@@ -23,8 +24,12 @@
 from cinderstair.runtime.dispatcher import Dispatcher
 from cinderstair.runtime.errors import CinderstairError, ErrorCode
 from cinderstair.runtime.message_types import MessageType
+from cinderstair.runtime.position import START, Position
+
+register_type(Position=with_pattern(r"\d+\.\d+")(lambda text: Position(*map(int, text.split(".")))))
 
 ONE_WAY_S = 0.008
+MOVING = PrimaryState.moving
 KEY = service_primary_key(service="s")
 CONTROLLERS = ("c1", "c2")
 NOTICES = (MessageType.RELAY_ASSIGNMENT, MessageType.APPLY_ASSIGNMENT)
@@ -139,15 +144,27 @@
     context.stage.advance(for_us=100_000)
 
 
-def acknowledges(*, context: Any, name: str, at: str) -> bool:
+def acknowledges(*, context: Any, name: str, at: str, reached_before: Position = START) -> bool:
     allowed: bool = context.stage.run(
         work=context.proxies[name].commit_acknowledgement.allowed(
-            service="s", backend="a", position=position(text=at), until_us=context.stage.now_us
+            service="s",
+            backend="a",
+            position=position(text=at),
+            until_us=context.stage.now_us,
+            reached_before=reached_before,
         )
     )
     return allowed
 
 
+@given("{name} acknowledges {at} for commits that were sent after {positions}")
+def given_sent_after(context: Any, name: str, at: str, positions: str) -> None:
+    for text in positions.split(", "):
+        reached_before = position(text=text)
+        assert reached_before is not None
+        assert acknowledges(context=context, name=name, at=at, reached_before=reached_before), name
+
+
 @given("{name} does not answer notices")
 def given_unreachable(context: Any, name: str) -> None:
     context.net.unreachable.add(name)
@@ -187,8 +204,27 @@
 def when_notified(context: Any, name: str, fence: str) -> None:
     at = position(text=fence)
     assert at is not None
-    moving = ServicePrimary(term=4, primary=name, state=PrimaryState.moving, fence=at, revision=1)
-    written = write(context=context, assignment=moving, round_number=9)
+    notify(context=context, assignment=ServicePrimary(term=4, primary=name, state=MOVING, fence=at, revision=1))
+
+
+@when('c1 assigns "{name}" without a fence and notifies the proxies')
+def when_notified_without_fence(context: Any, name: str) -> None:
+    notify(context=context, assignment=ServicePrimary(term=4, primary=name, state=MOVING, revision=1))
+
+
+@when('the assignment of "{old}" is settled, and c1 assigns "{name}" without a fence and notifies the proxies')
+def when_notified_after_settled(context: Any, old: str, name: str) -> None:
+    settled = ServicePrimary(term=4, primary=old, state=PrimaryState.settled, revision=2)
+    notify(context=context, assignment=settled, round_number=10)
+    notify(
+        context=context,
+        assignment=ServicePrimary(term=5, primary=name, state=MOVING, revision=3),
+        round_number=11,
+    )
+
+
+def notify(*, context: Any, assignment: ServicePrimary, round_number: int = 9) -> None:
+    written = write(context=context, assignment=assignment, round_number=round_number)
     controller = context.parts["c1"]
     context.stage.call(call=lambda: controller.view.apply_own_write(key=KEY, result=Ok(written)))
     began_us = context.stage.now_us
@@ -213,6 +249,16 @@
     assert ago_ms * 1_000 <= ago_us <= ago_ms * 1_000 + 150_000, ago_us
 
 
+@then("the proxies have acknowledged up to {at:Position}")
+def then_acknowledged_at_most(context: Any, at: Position) -> None:
+    assert context.found.position == at, context.found
+
+
+@then("the last acknowledged commit is at least {at:Position}")
+def then_acknowledged_at_least(context: Any, at: Position) -> None:
+    assert context.found.least == at, context.found
+
+
 @then("nothing is known of the acknowledged commits")
 def then_unknown(context: Any) -> None:
     assert context.found is None, context.found
--- a/features/steps/record_format_examples.py
+++ b/features/steps/record_format_examples.py
@@ -448,6 +448,16 @@
             value=ProxyReceipt(running_us=5_000_000, acknowledged=Position(6, 41), acknowledged_ago_us=1_500),
             read=lambda data: read_proxy_receipt(data=data),
         ),
+        "proxy receipt, with lower bounds": bytes_example(
+            value=ProxyReceipt(
+                running_us=5_000_000,
+                acknowledged=Position(6, 41),
+                acknowledged_ago_us=1_500,
+                acknowledged_least=Position(6, 30),
+                reached_before=(Position(6, 38), Position(6, 39)),
+            ),
+            read=lambda data: read_proxy_receipt(data=data),
+        ),
     }
 
 
--- a/src/cinderstair/control_plane/proxy_notifier.py
+++ b/src/cinderstair/control_plane/proxy_notifier.py
@@ -7,7 +7,7 @@
 
 from ..consensus.register_view import RegisterView
 from ..consensus.versioned_value import VersionedValue
-from ..failover.acknowledged_commits import AcknowledgedCommits
+from ..failover.acknowledged_commits import AcknowledgedCommits, least_last_position
 from ..failover.assignment_notice import (
     AssignmentNotice,
     ControllerReceipt,
@@ -23,7 +23,7 @@
 from ..runtime.dispatcher import Dispatcher
 from ..runtime.message_types import MessageType
 from ..runtime.packer import Packer
-from ..runtime.position import START
+from ..runtime.position import START, Position
 from ..runtime.unpacker import Unpacker
 from .relay import Relay
 
@@ -160,12 +160,16 @@
     def _combined(self, *, receipts: list[TimedReceipt | None], running_us: int) -> AcknowledgedCommits | None:
         """What the proxies have acknowledged; None if one did not answer, or started too recently to know."""
         now_us = self.ctx.now_us()
-        position, last_us = START, 0
+        position, least, last_us = START, START, 0
+        reached_before: list[Position] = []
         for timed in receipts:
             if timed is None or timed.receipt.running_us < running_us + now_us - timed.sent_us:
                 return None
             receipt = timed.receipt
             position = max(position, receipt.acknowledged)
+            least = max(least, receipt.acknowledged_least)
+            reached_before += receipt.reached_before
             # The receipt was sent after the notice, so the acknowledgement is at most this old.
             last_us = max(last_us, now_us - receipt.acknowledged_ago_us)
-        return AcknowledgedCommits(position=position, last_us=last_us)
+        least = max(least, least_last_position(reached_before=reached_before))
+        return AcknowledgedCommits(position=position, last_us=last_us, least=least)
--- a/src/cinderstair/failover/assignment_notice.py
+++ b/src/cinderstair/failover/assignment_notice.py
@@ -4,7 +4,7 @@
 
 from ..membership.relay_record import RelayedValue, read_relayed_value
 from ..runtime.packer import Packer
-from ..runtime.position import Position
+from ..runtime.position import START, Position
 from ..runtime.unpacker import Unpacker
 from .service_primary import PREFIX
 
@@ -65,17 +65,40 @@
     :param acknowledged: an upper bound of the positions of the service's log that it has acknowledged to clients;
         START if it has acknowledged none.
     :param acknowledged_ago_us: the time since the last of them.
+    :param acknowledged_least: a commit at or after this position was acknowledged before the last promotion; START
+        for none.
+    :param reached_before: for each of the last commits since then, a position that the log had reached before the
+        commit was sent.
     """
 
     running_us: int
     acknowledged: Position
     acknowledged_ago_us: int
+    acknowledged_least: Position = START
+    reached_before: tuple[Position, ...] = ()
+
+    @property
+    def _extended(self) -> bool:
+        """Whether the receipt has more than an earlier release wrote, whose controllers then read it as none."""
+        return bool(self.reached_before) or self.acknowledged_least != START
 
     def bytes(self) -> bytes:
         """The encoded receipt."""
         packer = Packer().u64(value=self.running_us)
-        packer.u64(value=self.acknowledged.term).u64(value=self.acknowledged.number)
-        return packer.u64(value=self.acknowledged_ago_us).bytes()
+        _write_position(packer, self.acknowledged)
+        packer.u64(value=self.acknowledged_ago_us)
+        if self._extended:
+            _write_position(packer, self.acknowledged_least)
+            packer.many(values=self.reached_before, each=_write_position)
+        return packer.bytes()
+
+
+def _write_position(packer: Packer, position: Position) -> None:
+    packer.u64(value=position.term).u64(value=position.number)
+
+
+def _read_position(unpacker: Unpacker) -> Position:
+    return Position(unpacker.u64(), unpacker.u64())
 
 
 def read_proxy_receipt(*, data: bytes) -> ProxyReceipt:
@@ -83,8 +106,10 @@
     unpacker = Unpacker(data=data)
     receipt = ProxyReceipt(
         running_us=unpacker.u64(),
-        acknowledged=Position(unpacker.u64(), unpacker.u64()),
+        acknowledged=_read_position(unpacker),
         acknowledged_ago_us=unpacker.u64(),
+        acknowledged_least=_read_position(unpacker) if unpacker.more else START,
+        reached_before=tuple(unpacker.many(each=_read_position)) if unpacker.more else (),
     )
     unpacker.done()
     return receipt
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -169,12 +169,16 @@
         return None
 
     def _lacks_commits(self, *, service: Service, acknowledged: AcknowledgedCommits | None, fence: Position) -> bool:
-        """Whether commits after `fence` were acknowledged after the replicas were paused.
+        """Whether commits after `fence` were acknowledged, certainly or probably.
 
-        Either a replica without any heartbeat so far has confirmed them, or one whose pause has ended.
+        Either a replica without any heartbeat so far has confirmed them, or one whose pause has ended. Where the log
+        ends between both bounds of the last acknowledged commit, and that one was acknowledged before the replicas
+        were paused, the positions after `fence` are most likely of commits that no replica had confirmed.
         """
         if acknowledged is None:
             return False
+        if acknowledged.least > fence:
+            return True
         held = self.fencing.held.get(service.name)
         after_pause = held is None or acknowledged.last_us > held.since_us
         return after_pause and acknowledged.position > fence
--- a/src/cinderstair/pooler/assignment_receiver.py
+++ b/src/cinderstair/pooler/assignment_receiver.py
@@ -35,6 +35,8 @@
         acknowledged = self.commit_acknowledgement.acknowledged(service=notice.service)
         return ProxyReceipt(
             running_us=now_us - self.commit_acknowledgement.began_us,
-            acknowledged=acknowledged.position,
+            acknowledged=acknowledged.highest,
             acknowledged_ago_us=now_us - acknowledged.last_us,
+            acknowledged_least=acknowledged.least,
+            reached_before=tuple(acknowledged.reached_before),
         ).bytes()
--- a/src/cinderstair/pooler/commit_acknowledgement.py
+++ b/src/cinderstair/pooler/commit_acknowledgement.py
@@ -5,15 +5,16 @@
 from ..failover.service_primary import PREFIX, PrimaryState
 from ..runtime.context import Context
 from ..runtime.position import START, Position
+from .acknowledged_positions import AcknowledgedPositions
 from .relayed_view import RelayedView
 
 
 @dataclass(frozen=True, kw_only=True)
-class LastAcknowledged:
-    """An upper bound of the acknowledged log positions, and when the last one was, by this proxy's clock."""
+class PromotionFence:
+    """The fence of the newest promotion, and the revision of the last assignment that was seen to follow it."""
 
     position: Position
-    last_us: int
+    revision: int
 
 
 class CommitAcknowledgement:
@@ -32,8 +33,8 @@
         self.ctx = ctx
         self.view = view
         self.began_us = ctx.now_us()
-        self.fences: dict[str, Position] = {}
-        self.last: dict[str, LastAcknowledged] = {}
+        self.fences: dict[str, PromotionFence] = {}
+        self.positions: dict[str, AcknowledgedPositions] = {}
         view.changes.subscribe(self._changed)
 
     def _changed(self, key: str) -> None:
@@ -41,21 +42,40 @@
             return
         service = key.removeprefix(PREFIX)
         assignment = self.view.primaries.get(service)
-        if assignment is not None and assignment.fence_known:
-            self.fences[service] = assignment.fence
-
-    async def allowed(self, *, service: str, backend: str, position: Position | None, until_us: int) -> bool:
+        if assignment is None:
+            return
+        if assignment.fence_known:
+            self.fences[service] = PromotionFence(position=assignment.fence, revision=assignment.revision)
+            return
+        fence = self.fences.get(service)
+        completed = fence is not None and assignment.revision == fence.revision + 1
+        if fence is not None and completed and assignment.state == PrimaryState.settled:
+            self.acknowledged(service=service).promoted(fence=fence.position)
+
+    async def allowed(
+        self,
+        *,
+        service: str,
+        backend: str,
+        position: Position | None,
+        until_us: int,
+        reached_before: Position = START,
+    ) -> bool:
         """Whether a commit that a backend has confirmed may be acknowledged, in which case it is recorded.
 
         Waits for the view to become current and for the fence of a promotion under way, at most until `until_us` by
         this proxy's clock.
 
         :param position: the log position that the backend reported with its answer, at or after the commit.
+        :param reached_before: a position that the primary's log had reached before the commit was sent; START if
+            none was known.
         """
         while True:
             by_primary = self._made_by_primary(service=service, backend=backend, position=position)
             if (by_primary and self.view.current) or self._fence_covers(service=service, position=position):
-                self._record(service=service, position=position)
+                self.acknowledged(service=service).record(
+                    position=position, reached_before=reached_before, now_us=self.ctx.now_us()
+                )
                 return True
             undecided = by_primary or self._fence_pending(service=service)
             if not undecided or self.ctx.now_us() >= until_us:
@@ -84,12 +104,11 @@
     def _fence_covers(self, *, service: str, position: Position | None) -> bool:
         """Whether the backend promoted last has the log up to this position."""
         fence = self.fences.get(service)
-        return fence is not None and position is not None and position <= fence
-
-    def _record(self, *, service: str, position: Position | None) -> None:
-        highest = max(self.acknowledged(service=service).position, position or START)
-        self.last[service] = LastAcknowledged(position=highest, last_us=self.ctx.now_us())
-
-    def acknowledged(self, *, service: str) -> LastAcknowledged:
-        """What was acknowledged of a service; START at the start of this proxy if nothing was."""
-        return self.last.get(service) or LastAcknowledged(position=START, last_us=self.began_us)
+        return fence is not None and position is not None and position <= fence.position
+
+    def acknowledged(self, *, service: str) -> AcknowledgedPositions:
+        """What was acknowledged of a service since the start of this proxy."""
+        found = self.positions.get(service)
+        if found is None:
+            found = self.positions[service] = AcknowledgedPositions(began_us=self.began_us)
+        return found
--- a/src/cinderstair/pooler/freshness.py
+++ b/src/cinderstair/pooler/freshness.py
@@ -4,7 +4,7 @@
 from operator import attrgetter
 from typing import NamedTuple
 
-from ..runtime.position import Position
+from ..runtime.position import START, Position
 
 # A sample is dropped when the samples before and after it are closer together than this.
 MIN_INTERVAL_US = 20_000
@@ -64,6 +64,11 @@
         index = bisect_left(self.samples, since_us, key=_requested_us)
         return self.samples[index].position if index < len(self.samples) else None
 
+    @property
+    def newest_position(self) -> Position:
+        """The position of the newest sample: the primary's log has reached it; START if there is no sample."""
+        return self.samples[-1].position if self.samples else START
+
     @property
     def newest_us(self) -> int:
         """When the newest sample was requested; LONG_AGO_US if there is none."""
--- a/src/cinderstair/pooler/session_base.py
+++ b/src/cinderstair/pooler/session_base.py
@@ -117,15 +117,22 @@
             self.router.shards.in_flight.sent(database=self.database, link=link, answer=reply)
         return reply
 
-    async def _acknowledgeable(self, *, pool: LinkPool, service: str, reply: Reply, until_us: int) -> Reply:
+    async def _acknowledgeable(
+        self, *, pool: LinkPool, service: str, reply: Reply, until_us: int, reached_before: Position
+    ) -> Reply:
         """The reply to a write or a commit, or an unknown outcome where its commit may be lost in a failover.
 
         :param until_us: the deadline, by this proxy's clock.
+        :param reached_before: see `CommitAcknowledgement.allowed`.
         """
         if reply.not_run or reply.fault is not None:
             return reply
         allowed = await self.router.commit_acknowledgement.allowed(
-            service=service, backend=pool.backend.name, position=reply.position, until_us=until_us
+            service=service,
+            backend=pool.backend.name,
+            position=reply.position,
+            until_us=until_us,
+            reached_before=reached_before,
         )
         return reply if allowed else refusal(kind=ErrorCode.OUTCOME_UNKNOWN)
 
--- a/src/cinderstair/pooler/single_write.py
+++ b/src/cinderstair/pooler/single_write.py
@@ -95,6 +95,7 @@
         :returns: None if the link was lost or no reply came in time: the write may have taken effect.
         """
         requested_us = self.ctx.now_us()
+        reached_before = self.router.freshness(service=route.service).newest_position
         future = self._send(link=link, statement=statement, at_least=None)
         try:
             reply = await await_reply(ctx=self.ctx, future=future, until_us=until_us)
@@ -109,7 +110,9 @@
             return None
         pool.release(link=link)
         self.router.record_reply(pool=pool, service=route.service, requested_us=requested_us, reply=reply)
-        reply = await self._acknowledgeable(pool=pool, service=route.service, reply=reply, until_us=until_us)
+        reply = await self._acknowledgeable(
+            pool=pool, service=route.service, reply=reply, until_us=until_us, reached_before=reached_before
+        )
         if not reply.not_run and reply.fault is None and reply.position is not None:
             self.last_commit = CommitPosition(route.service, reply.position)
         # A single statement leaves no open transaction, whatever state a backend reports after a failure.
--- a/src/cinderstair/pooler/transaction_statements.py
+++ b/src/cinderstair/pooler/transaction_statements.py
@@ -110,16 +110,20 @@
 
     async def _commit(self, *, transaction: Transaction, statement: Statement) -> Reply:
         until_us = self.ctx.now_us() + transaction.route.time_limit_us - REPLY_MARGIN_US
+        service = transaction.route.service
+        reached_before = self.router.freshness(service=service).newest_position
         reply = await self._send_commit(transaction=transaction, statement=statement)
         self.transaction = None
         if reply.state != State.idle:
             self._spawn_rollback(transaction=transaction)
             reply.state = State.idle
             return reply
-        pool, service = transaction.pool, transaction.route.service
+        pool = transaction.pool
         transaction.release_link(keep=True)
         if transaction.wrote and pool is not None:
-            reply = await self._acknowledgeable(pool=pool, service=service, reply=reply, until_us=until_us)
+            reply = await self._acknowledgeable(
+                pool=pool, service=service, reply=reply, until_us=until_us, reached_before=reached_before
+            )
         if reply.fault is None and transaction.wrote and reply.position is not None:
             self.last_commit = CommitPosition(transaction.route.service, reply.position)
         return reply
--- a/src/cinderstair/simulation/platformsim/confirming_replica_trials.py
+++ b/src/cinderstair/simulation/platformsim/confirming_replica_trials.py
@@ -6,6 +6,8 @@
 
 # Upper bound of the time between the first pause and the fault; a promotion has taken effect by then.
 MAX_DELAY_MS = 900
+# Upper bound of the time between a primary's crash and the first heartbeat of a replica that started before it.
+MAX_HEARTBEAT_DELAY_MS = 4_000
 
 
 def _await_pause(*, world: PlatformWorld) -> None:
@@ -52,6 +54,30 @@
     _end(world=world, old=old)
 
 
+def unheard_replica_at_primary_crash(world: PlatformWorld) -> None:
+    """The only replica that receives a primary's log is not known to any controller when the primary crashes."""
+    world.advance(for_ms=world.rng.randrange(1_000, 2_000))
+    old = world.primary()
+    replicas = world.replicas()
+    for replica in replicas:
+        replica.replication_interrupted = True
+    joined = world.add_replica()
+    sender = world.senders[joined.name]
+    sender.silent = True
+    world.await_that(
+        test=lambda: joined.received >= old.received, within_ms=3_000, description="the replica has the primary's log"
+    )
+    world.advance(for_ms=world.rng.randrange(1_000))
+    world.crash(backend=old, restart_us=world.rng.choice((7_000_000, None)))
+    world.advance(for_ms=world.rng.randrange(1_500, MAX_HEARTBEAT_DELAY_MS))
+    sender.silent = False
+    sender.changed.set()
+    for replica in replicas:
+        replica.replication_interrupted = False
+    await_failover(world=world, old=old.name)
+    world.advance(for_ms=3_000)
+
+
 def paused_replica_restarts(world: PlatformWorld) -> None:
     """A paused replica crashes and restarts, which ends its pause."""
     old = _partition_primary(world=world)
--- a/src/cinderstair/simulation/platformsim/platform_trials.py
+++ b/src/cinderstair/simulation/platformsim/platform_trials.py
@@ -86,6 +86,7 @@
         Trial(confirming_replica_trials.replica_joins_during_failover, FAILOVER, clients=18, think_us=90_000),
         Trial(confirming_replica_trials.replica_joins_before_failover, FAILOVER, clients=18, think_us=90_000),
         Trial(confirming_replica_trials.paused_replica_restarts, FAILOVER, clients=18, think_us=90_000),
+        Trial(confirming_replica_trials.unheard_replica_at_primary_crash, FAILOVER, clients=18, think_us=90_000),
         Trial(forgotten_replica_trials.controllers_killed_replica_silent, FAILOVER),
         Trial(forgotten_replica_trials.controllers_killed_replica_down, FAILOVER),
         Trial(forgotten_replica_trials.controllers_killed_replica_leaves, FAILOVER),
--- a/src/cinderstair/simulation/platformsim/replica_record_bugs.py
+++ b/src/cinderstair/simulation/platformsim/replica_record_bugs.py
@@ -1,5 +1,6 @@
 """Bugs in the record of each service's backends, and in what a fence counts; see `seeded_bugs`."""
 
+from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
 
@@ -7,6 +8,7 @@
 from ...failover.replica_fencing import PAUSE_WAIT_US, ReplicaFencing
 from ...failover.replica_records import ReplicaRecords
 from ...failover.successor_check import SuccessorCheck
+from ...runtime.position import START
 
 Patches = list[Any]
 
@@ -42,6 +44,17 @@
     ]
 
 
+def commits_before_pause_ignored() -> Patches:
+    """Commits acknowledged before the replicas were paused are taken to be in a paused log."""
+    lacks_commits = SuccessorCheck._lacks_commits
+
+    def after_pause_only(self: Any, *, service: Any, acknowledged: Any, fence: Any) -> bool:
+        without = None if acknowledged is None else replace(acknowledged, least=START)
+        return lacks_commits(self, service=service, acknowledged=without, fence=fence)
+
+    return [patch.object(SuccessorCheck, "_lacks_commits", after_pause_only)]
+
+
 def returned_primary_waited_for() -> Patches:
     """A primary that is back under another name counts as a replica, which can't be paused while it is primary."""
 
