Commit acknowledgement: a promotion's fence is valid only in a current view, until the next one

Cause: a proxy acknowledged a late answer of a replaced primary up to the fence of the newest promotion that it had seen, also while its view had expired and after promotions that it had not seen. That is right only as long as a fence is final.

Change: a fence counts only in a current view, and is forgotten once another promotion begins or may have been missed (a gap in the revisions).

Evidence: six of the scenarios added to proxy_notifier.feature failed before (withdrawn fence, expired view, three rows of the outline, confirmation).

--- a/features/steps/proxy_notifier_steps.py
+++ b/features/steps/proxy_notifier_steps.py
@@ -29,7 +29,6 @@
 register_type(Position=with_pattern(r"\d+\.\d+")(lambda text: Position(*map(int, text.split(".")))))
 
 ONE_WAY_S = 0.008
-MOVING = PrimaryState.moving
 KEY = service_primary_key(service="s")
 CONTROLLERS = ("c1", "c2")
 NOTICES = (MessageType.RELAY_ASSIGNMENT, MessageType.APPLY_ASSIGNMENT)
@@ -120,6 +119,9 @@
     new_stage(context=context)
     context.net = DaemonNet()
     context.running_us = 0
+    # of the last assignment
+    context.revision = 1
+    context.round_number = 8
     addresses = ProxyAddresses(addresses={name: ProxyAddress(site=SITE, records=name) for name in ("p1", "p2", "p3")})
     context.store.values[PROXY_ADDRESSES_KEY] = VersionedValue(ballot=Ballot(1, 1), value=addresses.bytes())
     settled = ServicePrimary(term=3, primary=primary, state=PrimaryState.settled)
@@ -157,6 +159,7 @@
     return allowed
 
 
+@when("{name} acknowledges {at} for commits that were sent after {positions}")
 @given("{name} acknowledges {at} for commits that were sent after {positions}")
 def given_sent_after(context: Any, name: str, at: str, positions: str) -> None:
     for text in positions.split(", "):
@@ -204,27 +207,46 @@
 def when_notified(context: Any, name: str, fence: str) -> None:
     at = position(text=fence)
     assert at is not None
-    notify(context=context, assignment=ServicePrimary(term=4, primary=name, state=MOVING, fence=at, revision=1))
+    notify(context=context, name=name, fence=at)
 
 
 @when('c1 assigns "{name}" without a fence and notifies the proxies')
 def when_notified_without_fence(context: Any, name: str) -> None:
-    notify(context=context, assignment=ServicePrimary(term=4, primary=name, state=MOVING, revision=1))
+    notify(context=context, name=name)
 
 
 @when('the assignment of "{old}" is settled, and c1 assigns "{name}" without a fence and notifies the proxies')
 def when_notified_after_settled(context: Any, old: str, name: str) -> None:
-    settled = ServicePrimary(term=4, primary=old, state=PrimaryState.settled, revision=2)
-    notify(context=context, assignment=settled, round_number=10)
-    notify(
-        context=context,
-        assignment=ServicePrimary(term=5, primary=name, state=MOVING, revision=3),
-        round_number=11,
-    )
+    notify(context=context, name=old, state=PrimaryState.settled)
+    notify(context=context, name=name)
+
+
+@when('the proxies see the assignments "{assignments}"')
+def when_assignments_seen(context: Any, assignments: str) -> None:
+    for text in assignments.split(", "):
+        revision, state = text.split()
+        notify(context=context, name=context.assigned, state=PrimaryState[state], revision=int(revision))
+
+
+@when("p1 and p2 have asked no controller for {wait_ms:d} ms")
+def when_views_expire(context: Any, wait_ms: int) -> None:
+    context.stage.advance(for_us=wait_ms * 1_000)
 
 
-def notify(*, context: Any, assignment: ServicePrimary, round_number: int = 9) -> None:
-    written = write(context=context, assignment=assignment, round_number=round_number)
+def notify(
+    *,
+    context: Any,
+    name: str,
+    state: PrimaryState = PrimaryState.moving,
+    fence: Position = START,
+    revision: int = 0,
+) -> None:
+    """Writes an assignment, by default the next revision, and lets c1 notify the proxies of it."""
+    context.assigned = name
+    context.revision = revision or context.revision + 1
+    assignment = ServicePrimary(term=4, primary=name, state=state, fence=fence, revision=context.revision)
+    context.round_number += 1
+    written = write(context=context, assignment=assignment, round_number=context.round_number)
     controller = context.parts["c1"]
     context.stage.call(call=lambda: controller.view.apply_own_write(key=KEY, result=Ok(written)))
     began_us = context.stage.now_us
@@ -272,6 +294,18 @@
         assert not acknowledges(context=context, name=name, at=past), name
 
 
+@then("p1 and p2 acknowledge nothing up to {at}")
+def then_nothing_acknowledged(context: Any, at: str) -> None:
+    for name in ("p1", "p2"):
+        assert not acknowledges(context=context, name=name, at=at), name
+
+
+@then('a commit of "a" at {at} is acknowledged: {word}')
+def then_acknowledged_word(context: Any, at: str, word: str) -> None:
+    for name in ("p1", "p2"):
+        assert acknowledges(context=context, name=name, at=at) == (word == "yes"), name
+
+
 @then('p3 knows that the assignment is moving to "{name}"')
 def then_moving(context: Any, name: str) -> None:
     assignment = context.proxies["p3"].view.primaries["s"]
--- a/src/cinderstair/pooler/commit_acknowledgement.py
+++ b/src/cinderstair/pooler/commit_acknowledgement.py
@@ -1,6 +1,6 @@
 """Decides by this proxy's view of the primary whether a commit may be acknowledged to its client."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..failover.service_primary import PREFIX, PrimaryState
 from ..runtime.context import Context
@@ -11,10 +11,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PromotionFence:
-    """The fence of the newest promotion, and the revision of the last assignment that was seen to follow it."""
+    """The fence of the newest promotion.
+
+    :param revision: that of the last assignment known to be in force with this fence or after it, without a gap.
+    :param completed: whether the promotion was seen to be complete.
+    """
 
     position: Position
     revision: int
+    completed: bool = False
 
 
 class CommitAcknowledgement:
@@ -25,8 +30,10 @@
     A backend may confirm a commit after it was replaced, if a replica that failover does not know receives its log.
     The new primary does not have such a commit.
 
-    Invariant: a commit is acknowledged only while a current view shows that its backend is still the primary, or if
-    the new primary is known to have it.
+    A fence is lowered where the only backends with the log up to it are lost, so it is valid no longer than the view.
+
+    Invariant: a commit is acknowledged only while a current view shows that its backend is still the primary, or that
+    the new primary has it.
     """
 
     def __init__(self, *, ctx: Context, view: RelayedView) -> None:
@@ -48,9 +55,16 @@
             self.fences[service] = PromotionFence(position=assignment.fence, revision=assignment.revision)
             return
         fence = self.fences.get(service)
-        completed = fence is not None and assignment.revision == fence.revision + 1
-        if fence is not None and completed and assignment.state == PrimaryState.settled:
+        if fence is None:
+            return
+        if assignment.fence_pending or assignment.revision > fence.revision + 1:
+            # The backend with the log up to this fence may have been given up, or replaced in its turn.
+            del self.fences[service]
+            return
+        if assignment.state == PrimaryState.settled and not fence.completed:
             self.acknowledged(service=service).promoted(fence=fence.position)
+            fence = replace(fence, completed=True)
+        self.fences[service] = replace(fence, revision=assignment.revision)
 
     async def allowed(
         self,
@@ -72,12 +86,13 @@
         """
         while True:
             by_primary = self._made_by_primary(service=service, backend=backend, position=position)
-            if (by_primary and self.view.current) or self._fence_covers(service=service, position=position):
+            covered = self._fence_covers(service=service, position=position)
+            if self.view.current and (by_primary or covered):
                 self.acknowledged(service=service).record(
                     position=position, reached_before=reached_before, now_us=self.ctx.now_us()
                 )
                 return True
-            undecided = by_primary or self._fence_pending(service=service)
+            undecided = by_primary or covered or self._fence_pending(service=service)
             if not undecided or self.ctx.now_us() >= until_us:
                 break
             await self.view.next_answer(until_us=until_us)
