--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -517,6 +517,67 @@
       | d    | 4000  | the controllers run for 0 ms  |
       | a    | 60000 | "a" is restarted              |
 
+  Scenario Outline: A primary that stepped down and is lost for good before it is promoted again is replaced: <event>
+    # guards against a service that waits for ever for the end of a log that holds commits which nobody acknowledged
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that <answer> notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "b" receives nothing any more
+    And "c" receives nothing any more
+    And the controllers run for 100 ms
+    And "a" announces the state emptying
+    And the promotion of "a" is requested
+    And "a" crashes
+    And <event>
+    Then the assignment is settled on another backend within <within> ms
+    And no acknowledged commit is lost
+    And no controller has crashed
+
+    Examples:
+      | answer        | event                         | within |
+      | answer        | the controllers run for 0 ms  | 9000   |
+      | do not answer | the controllers run for 0 ms  | 9000   |
+      | answer        | all controllers are restarted | 12000  |
+      | do not answer | all controllers are restarted | 12000  |
+
+  Scenario: A primary that stepped down, and is down before it is promoted again, keeps commits that no known replica has
+    # guards against a fence that is lowered below acknowledged commits
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "b" receives nothing any more
+    And "c" receives nothing any more
+    And replica "d" starts, and its heartbeats reach the lease holder only after 60000 ms
+    And the controllers run for 300 ms
+    And "d" ends
+    And "a" announces the state emptying
+    And the promotion of "a" is requested
+    And "a" crashes
+    And the controllers run for 6000 ms
+    And "a" is restarted
+    Then "a" is primary and the assignment is settled within 4000 ms
+    And no acknowledged commit is lost
+
+  Scenario Outline: A successor that is lost for good, with commits that nobody acknowledged, is replaced: <event>
+    # guards against a service that waits for ever for a log that is lost
+    Given a service with primary "a", replicas "b, c" and 2 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "b" receives nothing any more
+    And the controllers run for 100 ms
+    And "a" crashes
+    And "a" is suspected
+    And the promotion of "c" is requested
+    And "c" crashes
+    And <event>
+    Then "b" is primary and the assignment is settled within <within> ms
+    And no acknowledged commit is lost
+
+    Examples:
+      | event                         | within |
+      | the controllers run for 0 ms  | 9000   |
+      | all controllers are restarted | 12000  |
+
   Scenario: A primary that returns while a replica that confirmed commits is unknown keeps its commits
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
     And proxies that answer notices of an assignment, and acknowledge commits by their views
--- a/features/simulation/platformsim/platformfaults.feature
+++ b/features/simulation/platformsim/platformfaults.feature
@@ -49,6 +49,10 @@
       | fault                        | trial                            | seed | rule | words                                    |
       | commits_before_pause_ignored | unheard_replica_at_primary_crash | 1    | LOST | was promoted without acknowledged commit |
 
+    Examples: the backends with the log up to a promotion's fence are lost
+      | fault                 | trial                     | seed | rule    | words                    |
+      | fence_never_withdrawn | stepped_down_primary_lost | 3    | PRIMARY | no commit of ledger0 was |
+
     Examples: a primary is back under another name
       | fault                       | trial                                      | seed | rule    | words                              |
       | returned_primary_waited_for | primary_returns_renamed                    | 5    | PRIMARY | no commit of ledger0 was           |
--- a/src/cinderstair/failover/primary_replacement.py
+++ b/src/cinderstair/failover/primary_replacement.py
@@ -75,7 +75,7 @@
         if replacement is not None:
             return replacement
         if any(each.state == READY for each in others):
-            return await self.fencing.fence(service=service, assignment=assignment, others=others)
+            return await self.fencing.fence(service=service, assignment=assignment, primary=assignment.primary)
         reason = f"{explanation}, and no replica is ready to replace it"
         self.failover.blocking.report(name=service.name, reason=reason)
         return None
--- a/src/cinderstair/failover/promotion.py
+++ b/src/cinderstair/failover/promotion.py
@@ -7,6 +7,7 @@
 from ..config.service_plan import Service
 from ..membership.announcement import Announcement
 from ..runtime.errors import ErrorCode
+from ..runtime.position import START
 from .backend_control import BackendState, Promoter
 from .backend_poller import PROBE_WAIT_US
 from .replica_fencing import PAUSE_WAIT_US, ReplicaFencing
@@ -169,8 +170,7 @@
         states = await failover.poller.states(members=others)
         complete = {name: state for name, state in states.items() if state.received >= assignment.fence}
         if not complete:
-            reason = f"{assignment.primary} was not promoted, and no other backend that answers has every commit"
-            failover.blocking.report(name=service.name, reason=reason)
+            await self._withdraw_fence(service=service, assignment=assignment)
             return
         terms = (max(state.term, state.term_held) for state in states.values())
         term = max([assignment.term, *terms]) + 1
@@ -182,3 +182,34 @@
         new = replace(assignment, term=term, primary=best, ready_in_us=failover.promotion_us)
         if await failover.assignments.compare_and_set(service=service.name, old=assignment, new=new):
             failover.ctx.counters.add(name="promotion.superseded")
+
+    async def _withdraw_fence(self, *, service: Service, assignment: ServicePrimary) -> None:
+        """Assigns the replica with the longest log, whose fence `SuccessorCheck` then determines anew.
+
+        The log up to the present fence may be lost for good. Its end may hold commits that no replica has confirmed,
+        and enough paused replicas have all others among them.
+        """
+        failover = self.failover
+        reason = f"{assignment.primary} was not promoted, and no other backend that answers has every commit"
+        failover.blocking.report(name=service.name, reason=reason)
+        primary = self.fencing.replaced_primary(service=service.name)
+        successor = await self.fencing.fence(service=service, assignment=assignment, primary=primary)
+        if successor is None or successor.name == assignment.primary:
+            return
+        new = replace(
+            assignment,
+            term=successor.term,
+            primary=successor.name,
+            fence=START,
+            ready_in_us=failover.promotion_us,
+        )
+        if await failover.assignments.compare_and_set(service=service.name, old=assignment, new=new):
+            failover.ctx.counters.add(name="promotion.fences_withdrawn")
+            failover.ctx.log.warning(
+                "service %s: no backend that answers has the log of %s up to %s; the longest log of "
+                "the replicas of %s is sought",
+                service.name,
+                assignment.primary,
+                assignment.fence,
+                primary or "an unknown primary",
+            )
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -74,16 +74,17 @@
 
     # -- pausing --
 
-    async def fence(
-        self, *, service: Service, assignment: ServicePrimary, others: list[Announcement]
-    ) -> Successor | None:
-        """Pauses replicas in a new term and returns the one with the longest log; None if too few could be paused."""
+    async def fence(self, *, service: Service, assignment: ServicePrimary, primary: str) -> Successor | None:
+        """Pauses replicas in a new term and returns the one with the longest log; None if too few could be paused.
+
+        :param primary: the backend whose commits may have been acknowledged, and which is to be replaced.
+        """
         term = max(assignment.term, self.terms.get(service.name, 0)) + 1
         began_us = self.failover.ctx.now_us()
         self.fenced.add(service.name)
-        departed = self._departed(service=service.name, primary=assignment.primary)
-        doubtful = self._doubtful(service=service.name, primary=assignment.primary)
-        certain = [*others, *departed]
+        departed = self._departed(service=service.name, primary=primary)
+        doubtful = self._doubtful(service=service.name, primary=primary)
+        certain = [*self._others(service=service.name, primary=primary), *departed]
         enough = _fence_quorum(replicas=len(certain), confirmations=service.confirmations)
         answers, doubted = await asyncio.gather(
             self._pause(replicas=certain, term=term, needed=enough),
@@ -96,14 +97,14 @@
         if len(paused) >= needed:
             successor = _longest(paused=paused, replicas=replicas, term=term)
             self.held[service.name] = PausedReplicas(
-                primary=assignment.primary, names=frozenset(paused), longest=successor, since_us=began_us
+                primary=primary, names=frozenset(paused), longest=successor, since_us=began_us
             )
-            self._log_fence(service=service.name, primary=assignment.primary, paused=paused, known=len(replicas))
+            self._log_fence(service=service.name, primary=primary, paused=paused, known=len(replicas))
             return successor
         higher = [state.term_held for state in states.values() if state.term_held > term]
         # A replica that refuses may have been paused for a higher term by a lease holder that has crashed since.
         self.terms[service.name] = max([term, *higher])
-        reason = f"{assignment.primary} can't be fenced: {len(paused)} of {needed} required replicas are paused"
+        reason = f"{primary} can't be fenced: {len(paused)} of {needed} required replicas are paused"
         if departed:
             reason += f" ({', '.join(each.name for each in departed)} deregistered or not heard)"
         if higher:
@@ -141,9 +142,8 @@
             it may have restarted, which ends a pause, and have confirmed further commits.
         :returns: None if too few are paused.
         """
-        primary = self._replaced_primary(service=service.name, successor=assignment.primary)
-        members = self.failover.members.of_service(service=service.name)
-        certain = [each for each in members if each.name != primary]
+        primary = self.replaced_primary(service=service.name)
+        certain = self._others(service=service.name, primary=primary)
         certain += self._departed(service=service.name, primary=primary)
         doubtful = self._doubtful(service=service.name, primary=primary)
         answers, doubted = await asyncio.gather(
@@ -164,17 +164,17 @@
         term = max(assignment.term, *(state.term_held for state in paused.values()))
         return _longest(paused=paused, replicas=replicas, term=term)
 
-    def _replaced_primary(self, *, service: str, successor: str) -> str:
-        """The primary that a moving assignment replaces; empty if it is not known."""
+    def replaced_primary(self, *, service: str) -> str:
+        """The primary that a moving assignment replaces; empty if it is not known.
+
+        Where it is not known, all backends are treated as replicas of it, which is safe.
+        """
         held = self.held.get(service)
-        if held is not None:
-            return held.primary
-        # An earlier lease holder chose the successor.
-        unheard = [each.announcement for each in self.records.unheard(service=service)]
-        backends = [*self.failover.members.of_service(service=service), *unheard]
-        primaries = [each.name for each in backends if each.is_primary and each.name != successor]
-        # Where several call themselves primary, all are treated as replicas, which is safe.
-        return primaries[0] if len(primaries) == 1 else ""
+        # An earlier lease holder may have chosen the successor.
+        return self.records.settled_primary(service=service) if held is None else held.primary
+
+    def _others(self, *, service: str, primary: str) -> list[Announcement]:
+        return [each for each in self.failover.members.of_service(service=service) if each.name != primary]
 
     def _departed(self, *, service: str, primary: str) -> list[Announcement]:
         """The replicas that have left or are not heard, and count for the fence whether or not they answer."""
--- a/src/cinderstair/failover/replica_records.py
+++ b/src/cinderstair/failover/replica_records.py
@@ -106,17 +106,24 @@
             if each.name not in named and (each.departed or each.address not in replaced)
         ]
 
-    def update(self, *, service: str, primary: str, settled: Iterable[str]) -> None:
+    def update(self, *, service: str, primary: str, settled: Iterable[str]) -> bool:
         """Writes the record in the background if it does not name what is known now.
 
         :param primary: the assigned primary.
         :param settled: the deregistered backends that need not be recorded any longer.
+        :returns: whether the record names the assigned primary, or never will since the primary is not known.
         """
         new = self._wanted(service=service, primary=primary, settled=frozenset(settled))
-        if new == self.records.get(service, RecordedReplicas()) or service in self.writing:
-            return
-        self.writing.add(service)
-        self.ctx.spawn(work=self._write(service=service, new=new), name="replicas.record")
+        if new != self.records.get(service, RecordedReplicas()) and service not in self.writing:
+            self.writing.add(service)
+            self.ctx.spawn(work=self._write(service=service, new=new), name="replicas.record")
+        known = any(each.is_primary for each in new.entries)
+        return not known or self.settled_primary(service=service) == primary
+
+    def settled_primary(self, *, service: str) -> str:
+        """The primary of the last settled assignment, by the record; empty if it names none."""
+        primaries = [each.name for each in self._entries(service=service) if each.is_primary]
+        return primaries[0] if len(primaries) == 1 else ""
 
     def keeps_departure(self, *, service: str, name: str) -> bool:
         """Whether a deregistered backend is on record, or may not be recorded yet.
--- a/src/cinderstair/failover/service_assignments.py
+++ b/src/cinderstair/failover/service_assignments.py
@@ -31,8 +31,6 @@
         self.since_us: dict[str, int] = {}
         # since when no new view allows clients at the primary, by service
         self.unsettled_since_us: dict[str, int] = {}
-        # since when no new view lets proxies acknowledge a commit at the old primary, by service
-        self.moving_since_us: dict[str, int] = {}
         view.changes.subscribe(self._changed)
 
     def _changed(self, key: str) -> None:
@@ -47,9 +45,6 @@
         state_before = PrimaryState.settled if before is None or skipped else before.state
         if state_before == PrimaryState.settled:
             self.unsettled_since_us[service] = self.ctx.now_us()
-        # While an assignment is closing, open transactions may still commit.
-        if state_before != PrimaryState.moving:
-            self.moving_since_us[service] = self.ctx.now_us()
         self.primaries[service] = assignment
         self.since_us[service] = self.ctx.now_us()
 
@@ -87,9 +82,9 @@
         """Waits until every proxy's view from before the primary stopped serving has expired."""
         await self._wait_for_expiry(since_us=self.unsettled_since_us[service])
 
-    async def wait_for_views_before_move(self, *, service: str) -> None:
-        """Waits until every proxy's view that allows commits at the old primary has expired."""
-        await self._wait_for_expiry(since_us=self.moving_since_us[service])
+    async def wait_for_views_before_assignment(self, *, service: str) -> None:
+        """Waits until every proxy's view with an earlier assignment than the current one has expired."""
+        await self._wait_for_expiry(since_us=self.since_us[service])
 
     async def _wait_for_expiry(self, *, since_us: int) -> None:
         wait_us = since_us + self.view_expiry_us - self.ctx.now_us()
--- a/src/cinderstair/failover/service_failover.py
+++ b/src/cinderstair/failover/service_failover.py
@@ -221,16 +221,21 @@
         if assignment is None:
             await self._adopt_first_primary(service=name)
             return
+        recorded = True
         if assignment.state == PrimaryState.settled:
             self._settle_deregistrations(service=name, primary=assignment.primary)
-            self.records.update(service=name, primary=assignment.primary, settled=self.deregistrations.exited)
+            recorded = self.records.update(
+                service=name, primary=assignment.primary, settled=self.deregistrations.exited
+            )
         if assignment.state == PrimaryState.moving:
             await self.promotion.finish(service=service, assignment=assignment)
             return
         assigned_us = self.failover.assignments.since_us[name]
         reason = await self.monitor.move_reason(primary=assignment.primary, assigned_us=assigned_us)
         if reason is not None:
-            await self.replacement.replace(service=service, assignment=assignment, reason=reason)
+            # A later lease holder learns from the record whose replicas a fence has to count.
+            if recorded:
+                await self.replacement.replace(service=service, assignment=assignment, reason=reason)
         elif self.fencing.confirmation_due(service=name):
             await self.fencing.confirm(service=name, assignment=assignment)
         elif not self.fencing.start_resuming(service=name, assignment=assignment):
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -98,7 +98,7 @@
         longest = await self._fence_again(service=service, assignment=assignment, require_answers=True)
         if longest is None:
             return None
-        waited_us = self.failover.ctx.now_us() - self.failover.assignments.moving_since_us[service.name]
+        waited_us = self.failover.ctx.now_us() - self.failover.assignments.since_us[service.name]
         lacks_commits = self._lacks_commits(service=service, acknowledged=acknowledged, fence=longest.fence)
         if not lacks_commits or waited_us >= UNKNOWN_REPLICA_WAIT_US:
             return longest
@@ -164,7 +164,7 @@
             self.failover.ctx.counters.add(name="promotion.proxies_notified")
             return acknowledged
         self.failover.ctx.counters.add(name="promotion.views_awaited")
-        await self.failover.assignments.wait_for_views_before_move(service=service.name)
+        await self.failover.assignments.wait_for_views_before_assignment(service=service.name)
         await self.failover.refresh_heartbeats()
         return None
 
--- a/src/cinderstair/simulation/platformsim/replica_record_bugs.py
+++ b/src/cinderstair/simulation/platformsim/replica_record_bugs.py
@@ -5,6 +5,7 @@
 from unittest.mock import patch
 
 from ...failover import primary_replacement
+from ...failover.promotion import Promotion
 from ...failover.replica_fencing import PAUSE_WAIT_US, ReplicaFencing
 from ...failover.replica_records import ReplicaRecords
 from ...failover.successor_check import SuccessorCheck
@@ -55,6 +56,15 @@
     return [patch.object(SuccessorCheck, "_lacks_commits", after_pause_only)]
 
 
+def fence_never_withdrawn() -> Patches:
+    """A fence stays in force although the only backends with the log up to it are lost."""
+
+    async def wait(self: Any, **named: Any) -> None:
+        return None
+
+    return [patch.object(Promotion, "_withdraw_fence", wait)]
+
+
 def returned_primary_waited_for() -> Patches:
     """A primary that is back under another name counts as a replica, which can't be paused while it is primary."""
 
--- a/src/cinderstair/simulation/platformsim/seeded_bugs.py
+++ b/src/cinderstair/simulation/platformsim/seeded_bugs.py
@@ -342,6 +342,7 @@
         replica_record_bugs.departed_replicas_forgotten,
         replica_record_bugs.returned_primary_waited_for,
         replica_record_bugs.commits_before_pause_ignored,
+        replica_record_bugs.fence_never_withdrawn,
         shard_bugs.old_map_writes_continue,
         shard_bugs.map_switched_without_closing,
         shard_bugs.samples_from_before_handover,
