Failover: replicas paused for a promotion are resumed although the new primary must be replaced

What callers saw: nothing at first; a leaving replica with the longest log was promoted and never replaced, and when it ended its service had only replicas that had received nothing since the promotion.

Cause: replicas are resumed in a step that runs only where the primary needs no replacement. A leaving primary always needs one, and finds no replica ('no replica is ready to follow it'), since all are still paused. A step that waits for what only the step itself would give.

Change: while a primary that answers is to be replaced, paused replicas are resumed beside it. One that is lost is not: a late resume must not undo the pause of the fence that follows.

Tests: 'A leaving replica that was promoted is replaced ...' failed before ('not within 9000000 us'). In 'A deregistered replica that still confirms commits is fenced' the list of requests to b goes on after its pause, since b is replaced now; it is still compared as a whole, and the order of pause and promotion is checked as well.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -437,9 +437,22 @@
     And "a" is unreachable to the controllers
     And "a" is suspected
     And the controllers run for 4000 ms
-    Then the requests to "b" were "pause 4"
+    Then the requests to "b" were "pause 4, step down 5, resume"
+    And "b" was paused before the promotion was requested
     And no acknowledged commit is lost
 
+  Scenario: A leaving replica that was promoted is replaced, although the others were paused for its promotion
+    # guards against replicas that stay paused as long as the primary must be replaced, and so can't replace it
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And "c" is 40 positions behind
+    And the failover lease is held and the assignment is settled
+    When "b" deregisters, and keeps serving
+    And "a" crashes
+    And "a" is suspected
+    Then "c" is primary and the assignment is settled within 9000 ms
+    And no acknowledged commit is lost
+    And exactly one backend is primary, and no replica is paused
+
   Scenario: A primary that keeps serving after its deregistration steps down before another one is promoted
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
     And the failover lease is held and the assignment is settled
--- a/src/cinderstair/failover/service_failover.py
+++ b/src/cinderstair/failover/service_failover.py
@@ -233,6 +233,9 @@
         assigned_us = self.failover.assignments.since_us[name]
         reason = await self.monitor.move_reason(primary=assignment.primary, assigned_us=assigned_us)
         if reason is not None:
+            if reason.primary_answers and assignment.state == PrimaryState.settled:
+                # A replica that is still paused can't catch up with the primary that it is to replace.
+                self.fencing.start_resuming(service=name, assignment=assignment)
             # A later lease holder learns from the record whose replicas a fence has to count.
             if recorded:
                 await self.replacement.replace(service=service, assignment=assignment, reason=reason)
