Failover: what the proxies that answer have acknowledged counts although one is silent

Cause: a notice of an assignment gave no result at all where one proxy or controller did not answer, or had restarted.

Change: the notifier returns what it has been told, and whether that is all. The views of silent proxies are waited out as before. Where a controller is silent, all proxies with an address are asked.

Tests: the two rows of 'Commits acknowledged before a primary crashed ...' with a silent proxy fail with a check that ignores incomplete answers, as the code did before. 'Nothing is known of the acknowledged commits' becomes 'Not all acknowledged commits are known', with the same causes, and now checks what is known as well.

--- a/features/control_plane/proxy_notifier.feature
+++ b/features/control_plane/proxy_notifier.feature
@@ -81,18 +81,19 @@
     And the proxy p3 starts at c2
     Then p3 knows that the assignment is moving to "b"
 
-  Scenario Outline: Nothing is known of the acknowledged commits where <cause>
+  Scenario Outline: Not all acknowledged commits are known where <cause>
+    # guards against a promotion without commits that the other proxies are known to have acknowledged
     Given <cause>
     When c1 assigns "b" with fence 3.8 and notifies the proxies
-    Then nothing is known of the acknowledged commits
+    Then not all acknowledged commits are known, and those that are reach up to <known>
 
     Examples:
-      | cause                                                      |
-      | p2 does not answer notices                                 |
-      | c2 does not answer notices                                 |
-      | the register does not list the address of p2               |
-      | p2 restarted 500 ms ago, and the replicas were paused before |
-      | 4000 notices of other services are unanswered              |
+      | cause                                                        | known |
+      | p2 does not answer notices                                   | 3.7   |
+      | c2 does not answer notices                                   | 3.9   |
+      | the register does not list the address of p2                 | 3.7   |
+      | p2 restarted 500 ms ago, and the replicas were paused before | 3.7   |
+      | 4000 notices of other services are unanswered                | 0.0   |
 
   Scenario: A proxy whose view has expired is not waited for
     Given p2 has asked no controller for 1200 ms, and no longer answers
--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -507,10 +507,10 @@
     And "d" is primary and the assignment is settled within 4000 ms
     And no acknowledged commit is lost
 
-  Scenario Outline: Commits acknowledged before a primary crashed, which no known replica has, are waited for: <whom> has them
+  Scenario Outline: Commits acknowledged before a primary crashed, which no known replica has, are waited for: <whom> has them, proxies <answer>
     # guards against a promotion without commits that were acknowledged before the replicas were paused
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
-    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And proxies that <answer> notices of an assignment, and acknowledge commits by their views
     And the failover lease is held and the assignment is settled
     When "b" receives nothing any more
     And "c" receives nothing any more
@@ -518,7 +518,7 @@
     And the controllers run for 1000 ms
     And "a" crashes
     And "a" is suspected
-    And the controllers run for 1500 ms
+    And the controllers run for 2500 ms
     Then the promotions requested were "none"
     When <event>
     Then "<whom>" is primary and the assignment is settled within 4000 ms
@@ -526,9 +526,11 @@
     And no controller has crashed
 
     Examples:
-      | whom | late  | event                         |
-      | d    | 4000  | the controllers run for 0 ms  |
-      | a    | 60000 | "a" is restarted              |
+      | answer               | whom | late  | event                        |
+      | answer               | d    | 4000  | the controllers run for 0 ms |
+      | answer               | a    | 60000 | "a" is restarted             |
+      | answer, but for one, | d    | 4000  | the controllers run for 0 ms |
+      | answer, but for one, | a    | 60000 | "a" is restarted             |
 
   Scenario Outline: A primary that stepped down and is lost for good before it is promoted again is replaced: <event>
     # guards against a service that waits for ever for the end of a log that holds commits which nobody acknowledged
--- a/features/steps/cluster_stage.py
+++ b/features/steps/cluster_stage.py
@@ -176,6 +176,8 @@
         self.writing = False
         # whether all proxies answer a notice, whether they have, and whether one acknowledges a backend's commits
         self.proxies_answer = True
+        # whether one proxy is silent, and acknowledges nothing that the others don't know of
+        self.one_proxy_silent = False
         self.proxies_notified = 0
         self.proxies_acknowledge: Callable[[str], bool] = lambda name: True
         self.acknowledged_us = 0
@@ -224,15 +226,23 @@
                     self.acknowledged = max(self.acknowledged, made)
                     self.acknowledged_us = self.stage.now_us
 
-    async def notify_proxies(self, service: str, running_us: int) -> AcknowledgedCommits | None:
-        """What the proxies have acknowledged, as `NotifyProxies` returns it; None after a while if one is silent."""
+    async def notify_proxies(self, service: str, running_us: int) -> AcknowledgedCommits:
+        """What the proxies have acknowledged, as `NotifyProxies` returns it; after a while if one is silent."""
         if not self.proxies_answer:
             await asyncio.sleep(NOTICE_WAIT_US / 1_000_000)
-            return None
-        await asyncio.sleep(NOTICE_US / 1_000_000)
-        self.proxies_notified += 1
+            return AcknowledgedCommits(complete=False)
+        if self.one_proxy_silent:
+            await asyncio.sleep(NOTICE_WAIT_US / 1_000_000)
+        else:
+            await asyncio.sleep(NOTICE_US / 1_000_000)
+            self.proxies_notified += 1
         reported = Position(self.acknowledged.term, self.acknowledged.number + self.reported_beyond)
-        return AcknowledgedCommits(position=reported, last_us=self.acknowledged_us, least=self.acknowledged)
+        return AcknowledgedCommits(
+            position=reported,
+            last_us=self.acknowledged_us,
+            least=self.acknowledged,
+            complete=not self.one_proxy_silent,
+        )
 
     def add_replica(self, *, name: str) -> SimulatedBackend:
         """Starts a replica that has the primary's log and receives what follows; it sends no heartbeats yet."""
--- a/features/steps/proxy_notifier_steps.py
+++ b/features/steps/proxy_notifier_steps.py
@@ -265,7 +265,7 @@
 
 @then("the proxies have acknowledged up to {at}, the last commit {ago_ms:d} ms ago")
 def then_acknowledged_up_to(context: Any, at: str, ago_ms: int) -> None:
-    assert context.found is not None
+    assert context.found.complete
     assert position_text(at=context.found.position) == at, context.found
     ago_us = context.stage.now_us - context.found.last_us
     assert ago_ms * 1_000 <= ago_us <= ago_ms * 1_000 + 150_000, ago_us
@@ -281,9 +281,10 @@
     assert context.found.least == at, context.found
 
 
-@then("nothing is known of the acknowledged commits")
-def then_unknown(context: Any) -> None:
-    assert context.found is None, context.found
+@then("not all acknowledged commits are known, and those that are reach up to {at:Position}")
+def then_incomplete(context: Any, at: Position) -> None:
+    assert not context.found.complete, context.found
+    assert context.found.position == at, context.found
 
 
 @then("p1 and p2 confirm no primary, and acknowledge {at} but not {past}")
--- a/features/steps/service_failover_steps.py
+++ b/features/steps/service_failover_steps.py
@@ -117,7 +117,8 @@
 @given("proxies that {answer} notices of an assignment, and acknowledge commits by their views")
 def given_proxies(context: Any, answer: str) -> None:
     cluster = context.cluster
-    cluster.proxies_answer = answer == "answer"
+    cluster.proxies_answer = answer != "do not answer"
+    cluster.one_proxy_silent = answer == "answer, but for one,"
 
     def acknowledge(name: str) -> bool:
         written = [
--- a/src/cinderstair/control_plane/proxy_notifier.py
+++ b/src/cinderstair/control_plane/proxy_notifier.py
@@ -23,7 +23,7 @@
 from ..runtime.dispatcher import Dispatcher
 from ..runtime.message_types import MessageType
 from ..runtime.packer import Packer
-from ..runtime.position import START, Position
+from ..runtime.position import START
 from ..runtime.unpacker import Unpacker
 from .relay import Relay
 
@@ -82,11 +82,11 @@
     def _own_proxies(self) -> tuple[str, ...]:
         return tuple(contact.name for contact in self.relay.recent_proxies(within_us=self.expiry_us))
 
-    async def notify(self, service: str, running_us: int) -> AcknowledgedCommits | None:
+    async def notify(self, service: str, running_us: int) -> AcknowledgedCommits:
         """See `NotifyProxies`."""
         addresses = self._addresses()
         if self.unanswered + len(addresses) > MAX_UNANSWERED_NOTICES:
-            return None
+            return AcknowledgedCommits(complete=False)
         key = service_primary_key(service=service)
         found = self.view.known[key]
         notice = AssignmentNotice(value=RelayedValue(key=key, ballot=found.ballot, value=found.value))
@@ -96,10 +96,11 @@
             for name, address in addresses.items()
         }
         proxies = await self._proxies_of_all(notice=notice)
-        if proxies is None or not proxies <= tasks.keys():
-            return None
-        receipts = await asyncio.gather(*(tasks[name] for name in sorted(proxies)))
-        return self._combined(receipts=receipts, running_us=running_us)
+        all_known = proxies is not None and proxies <= tasks.keys()
+        # Where it is not known which proxies matter, each of them may.
+        awaited = proxies if proxies is not None and all_known else tasks.keys()
+        receipts = await asyncio.gather(*(tasks[name] for name in sorted(awaited)))
+        return self._combined(receipts=receipts, running_us=running_us, all_known=all_known)
 
     def _addresses(self) -> dict[str, str]:
         """The addresses of the proxies that accept records, by name."""
@@ -157,19 +158,24 @@
             self.ctx.counters.add(name="records.malformed")
             return None
 
-    def _combined(self, *, receipts: list[TimedReceipt | None], running_us: int) -> AcknowledgedCommits | None:
-        """What the proxies have acknowledged; None if one did not answer, or started too recently to know."""
+    def _combined(
+        self, *, receipts: list[TimedReceipt | None], running_us: int, all_known: bool
+    ) -> AcknowledgedCommits:
+        """What the proxies have acknowledged, by those that answered.
+
+        :param all_known: whether all proxies whose views may be current were notified.
+        """
         now_us = self.ctx.now_us()
-        position, least, last_us = START, START, 0
-        reached_before: list[Position] = []
-        for timed in receipts:
-            if timed is None or timed.receipt.running_us < running_us + now_us - timed.sent_us:
-                return None
-            receipt = timed.receipt
-            position = max(position, receipt.acknowledged)
-            least = max(least, receipt.acknowledged_least)
-            reached_before += receipt.reached_before
+        answered = [timed for timed in receipts if timed is not None]
+        least = least_last_position(
+            reached_before=[position for timed in answered for position in timed.receipt.reached_before]
+        )
+        return AcknowledgedCommits(
+            position=max((timed.receipt.acknowledged for timed in answered), default=START),
             # The receipt was sent after the notice, so the acknowledgement is at most this old.
-            last_us = max(last_us, now_us - receipt.acknowledged_ago_us)
-        least = max(least, least_last_position(reached_before=reached_before))
-        return AcknowledgedCommits(position=position, last_us=last_us, least=least)
+            last_us=max((now_us - timed.receipt.acknowledged_ago_us for timed in answered), default=0),
+            least=max(least, *(timed.receipt.acknowledged_least for timed in answered)) if answered else START,
+            complete=all_known
+            and len(answered) == len(receipts)
+            and all(timed.receipt.running_us >= running_us + now_us - timed.sent_us for timed in answered),
+        )
--- a/src/cinderstair/failover/acknowledged_commits.py
+++ b/src/cinderstair/failover/acknowledged_commits.py
@@ -8,17 +8,21 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AcknowledgedCommits:
-    """Bounds of the last acknowledged commit's position, and when it was, by the local clock in microseconds.
+    """Bounds of the position of the last commit that the proxies which have answered have acknowledged.
 
     A backend reports the end of its log beside a commit, not the commit's own position.
 
     :param position: no commit after this position was acknowledged.
+    :param last_us: when it was acknowledged, by the local clock in microseconds.
     :param least: a commit at or after this position was acknowledged; START for none.
+    :param complete: whether no other proxy may have acknowledged commits: each whose view may be current has answered
+        and has been running long enough to know. Otherwise one may still act on an older assignment.
     """
 
-    position: Position
-    last_us: int
+    position: Position = START
+    last_us: int = 0
     least: Position = START
+    complete: bool = True
 
 
 def least_last_position(*, reached_before: Iterable[Position]) -> Position:
@@ -37,6 +41,6 @@
 
 
 # Makes a service's assignment known to every proxy whose view may be current, by the service's name. Returns what the
-# proxies have acknowledged, or None if one of them may still act on an older assignment. The second argument is the
-# period in microseconds for which each proxy must have been running, so that it knows all that it acknowledged.
-NotifyProxies = Callable[[str, int], Awaitable[AcknowledgedCommits | None]]
+# proxies that answer have acknowledged. The second argument is the period in microseconds for which each proxy must
+# have been running, so that it knows all that it acknowledged.
+NotifyProxies = Callable[[str, int], Awaitable[AcknowledgedCommits]]
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -18,10 +18,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class StoppedAcknowledgements:
-    """What had been acknowledged when the assignment with `revision` was known to all proxies; None: not known."""
+    """What had been acknowledged when no proxy acted on an older assignment than the one with `revision`."""
 
     revision: int
-    acknowledged: AcknowledgedCommits | None
+    acknowledged: AcknowledgedCommits
 
 
 class SuccessorCheck:
@@ -56,25 +56,25 @@
         return await self._write_fence(service=service, assignment=assignment, successor=successor)
 
     async def _choose(
-        self, *, service: Service, assignment: ServicePrimary, acknowledged: AcknowledgedCommits | None
+        self, *, service: Service, assignment: ServicePrimary, acknowledged: AcknowledgedCommits
     ) -> Successor | None:
         """The backend to promote; None if no known one is sure to have every acknowledged commit."""
         held = self.fencing.held.get(service.name)
-        if acknowledged is not None and held is not None and acknowledged.position <= held.longest.fence:
+        covered = held is not None and acknowledged.position <= held.longest.fence
+        if held is not None and covered and acknowledged.complete:
             return held.longest
         successor = await self._longest_log(service=service, assignment=assignment, acknowledged=acknowledged)
         if successor is None:
             successor = await self._returned_primary(service=service, assignment=assignment)
         return successor
 
-    def _log_choice(self, *, service: str, successor: Successor, acknowledged: AcknowledgedCommits | None) -> None:
+    def _log_choice(self, *, service: str, successor: Successor, acknowledged: AcknowledgedCommits) -> None:
         """Logs how far the successor's log and the acknowledged commits reach."""
         ctx = self.failover.ctx
-        if acknowledged is None:
-            bound = "how far proxies have acknowledged is not known; all older views have expired"
-        else:
-            bound = f"proxies have acknowledged up to {acknowledged.position}"
-        behind = acknowledged is not None and acknowledged.position > successor.fence
+        bound = f"proxies have acknowledged up to {acknowledged.position}"
+        if not acknowledged.complete:
+            bound += ", as far as they have answered; all older views have expired"
+        behind = acknowledged.position > successor.fence
         log = ctx.log.warning if behind else ctx.log.info
         log(
             "service %s: %s is to be promoted with its log up to %s; %s",
@@ -87,7 +87,7 @@
             ctx.counters.add(name="promotion.behind_acknowledged")
 
     async def _longest_log(
-        self, *, service: Service, assignment: ServicePrimary, acknowledged: AcknowledgedCommits | None
+        self, *, service: Service, assignment: ServicePrimary, acknowledged: AcknowledgedCommits
     ) -> Successor | None:
         """The replica with the longest log of those known now; None if it may lack acknowledged commits."""
         longest = await self._fence_again(service=service, assignment=assignment, require_answers=False)
@@ -140,10 +140,10 @@
             self.failover.ctx.counters.add(name="promotion.superseded")
         return self.failover.assignments.primaries[service.name]
 
-    async def _stop_acknowledgements(self, *, service: Service, revision: int) -> AcknowledgedCommits | None:
+    async def _stop_acknowledgements(self, *, service: Service, revision: int) -> AcknowledgedCommits:
         """Returns once no proxy acts on an older assignment than the one with this revision.
 
-        :returns: what the proxies have acknowledged; None if one did not answer, in which case its view has expired.
+        :returns: what the proxies have acknowledged; the views of those that did not answer have expired.
         """
         stopped = self.stopped.get(service.name)
         if stopped is None or stopped.revision != revision:
@@ -155,28 +155,26 @@
             await self.failover.refresh_heartbeats()
         return stopped.acknowledged
 
-    async def _notify_or_wait(self, *, service: Service) -> AcknowledgedCommits | None:
+    async def _notify_or_wait(self, *, service: Service) -> AcknowledgedCommits:
         running_us = self.fencing.paused_for_us(service=service.name)
         acknowledged, _ = await asyncio.gather(
             self.failover.notify_proxies(service.name, running_us), self.failover.refresh_heartbeats()
         )
-        if acknowledged is not None:
+        if acknowledged.complete:
             self.failover.ctx.counters.add(name="promotion.proxies_notified")
             return acknowledged
         self.failover.ctx.counters.add(name="promotion.views_awaited")
         await self.failover.assignments.wait_for_views_before_assignment(service=service.name)
         await self.failover.refresh_heartbeats()
-        return None
+        return acknowledged
 
-    def _lacks_commits(self, *, service: Service, acknowledged: AcknowledgedCommits | None, fence: Position) -> bool:
+    def _lacks_commits(self, *, service: Service, acknowledged: AcknowledgedCommits, fence: Position) -> bool:
         """Whether commits after `fence` were acknowledged, certainly or probably.
 
         Either a replica without any heartbeat so far has confirmed them, or one whose pause has ended. Where the log
         ends between both bounds of the last acknowledged commit, and that one was acknowledged before the replicas
         were paused, the positions after `fence` are most likely of commits that no replica had confirmed.
         """
-        if acknowledged is None:
-            return False
         if acknowledged.least > fence:
             return True
         held = self.fencing.held.get(service.name)
--- a/src/cinderstair/simulation/platformsim/replica_record_bugs.py
+++ b/src/cinderstair/simulation/platformsim/replica_record_bugs.py
@@ -50,7 +50,7 @@
     lacks_commits = SuccessorCheck._lacks_commits
 
     def after_pause_only(self: Any, *, service: Any, acknowledged: Any, fence: Any) -> bool:
-        without = None if acknowledged is None else replace(acknowledged, least=START)
+        without = replace(acknowledged, least=START)
         return lacks_commits(self, service=service, acknowledged=without, fence=fence)
 
     return [patch.object(SuccessorCheck, "_lacks_commits", after_pause_only)]
