Failover: a fence is withdrawn only where the assigned backend is lost

Test: 'A primary that stepped down, and whose promotion takes long, is waited for while it answers' failed before.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -555,6 +555,20 @@
       | answer        | all controllers are restarted | 12000  |
       | do not answer | all controllers are restarted | 12000  |
 
+  Scenario: A primary that stepped down, and whose promotion takes long, is waited for while it answers
+    # guards against two primaries: the promotion that was requested may take effect at any later time
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And "a" never becomes primary
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "b" receives nothing any more
+    And "c" receives nothing any more
+    And the controllers run for 100 ms
+    And "a" announces the state emptying
+    And the promotion of "a" is requested
+    And the controllers run for 20000 ms
+    Then the assignment is moving on "a"
+
   Scenario: A primary that stepped down, and is down before it is promoted again, keeps commits that no known replica has
     # guards against a fence that is lowered below acknowledged commits
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
--- a/src/cinderstair/failover/promotion.py
+++ b/src/cinderstair/failover/promotion.py
@@ -102,16 +102,17 @@
                 return None
             member = self.find_backend(service=service.name, name=assignment.primary)
             if not await self._request(service=service, assignment=assignment, attempt=attempt):
+                lost = True
                 break
             state = await self._probe(member=member, attempt=attempt)
             if state is not None and state.is_primary:
                 return state
             # One that has deregistered is waited for as well: the promotion was requested, and takes effect.
-            unreachable = ctx.now_us() - attempt.reached_us > UNREACHABLE_US
-            if unreachable or ctx.now_us() - attempt.began_us > PROMOTION_TIMEOUT_US:
+            lost = ctx.now_us() - attempt.reached_us > UNREACHABLE_US
+            if lost or ctx.now_us() - attempt.began_us > PROMOTION_TIMEOUT_US:
                 break
             await ctx.sleep(duration_us=PRIMARY_POLL_US)
-        await self._assign_another(service=service, assignment=assignment)
+        await self._assign_another(service=service, assignment=assignment, lost=lost)
         return None
 
     async def _request(self, *, service: Service, assignment: ServicePrimary, attempt: _Attempt) -> bool:
@@ -161,8 +162,11 @@
         self.failover.blocking.report(name=service, reason=reason)
         return False
 
-    async def _assign_another(self, *, service: Service, assignment: ServicePrimary) -> None:
-        """Assigns another backend whose log includes the fence position, in a higher term."""
+    async def _assign_another(self, *, service: Service, assignment: ServicePrimary, lost: bool) -> None:
+        """Assigns another backend whose log includes the fence position, in a higher term.
+
+        :param lost: whether the assigned backend does not run or can't be reached.
+        """
         failover = self.failover
         failover.retry_later(service=service.name)
         members = failover.members.of_service(service=service.name)
@@ -170,7 +174,11 @@
         states = await failover.poller.states(members=others)
         complete = {name: state for name, state in states.items() if state.received >= assignment.fence}
         if not complete:
-            await self._withdraw_fence(service=service, assignment=assignment)
+            reason = f"{assignment.primary} was not promoted, and no other backend that answers has every commit"
+            failover.blocking.report(name=service.name, reason=reason)
+            # The promotion of a backend that runs may still take effect.
+            if lost:
+                await self._withdraw_fence(service=service, assignment=assignment)
             return
         terms = (max(state.term, state.term_held) for state in states.values())
         term = max([assignment.term, *terms]) + 1
@@ -190,8 +198,6 @@
         and enough paused replicas have all others among them.
         """
         failover = self.failover
-        reason = f"{assignment.primary} was not promoted, and no other backend that answers has every commit"
-        failover.blocking.report(name=service.name, reason=reason)
         primary = self.fencing.replaced_primary(service=service.name)
         successor = await self.fencing.fence(service=service, assignment=assignment, primary=primary)
         if successor is None or successor.name == assignment.primary:
