Failover: a log up to the fence is sought for 4 s before the fence is withdrawn

Cause: a fence was withdrawn as soon as its backend was lost. The fence is the last thing known of what was acknowledged where proxies and controllers have restarted. A replica that started just before, with the log up to the fence, was then left out if its first heartbeat came a second later; and so was the backend itself, if it returned.

Change: the fence is withdrawn 4 s after its assignment was first seen.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -555,6 +555,27 @@
       | answer        | all controllers are restarted | 12000  |
       | do not answer | all controllers are restarted | 12000  |
 
+  Scenario Outline: The log of a primary that stepped down and is lost is kept by a replica that is heard of late: <event>
+    # guards against a lowered fence where neither controllers nor proxies remember what was acknowledged
+    Given a service with primary "a", replicas "b, c" and 1 required confirmations
+    And proxies that do not answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "b" receives nothing any more
+    And "c" receives nothing any more
+    And replica "d" starts, and its heartbeats reach the lease holder only after 4500 ms
+    And the controllers run for 300 ms
+    And "a" announces the state emptying
+    And the promotion of "a" is requested
+    And "a" crashes
+    And <event>
+    Then "d" is primary and the assignment is settled within 9000 ms
+    And no acknowledged commit is lost
+
+    Examples:
+      | event                         |
+      | the controllers run for 0 ms  |
+      | all controllers are restarted |
+
   Scenario: A primary that stepped down, and whose promotion takes long, is waited for while it answers
     # guards against two primaries: the promotion that was requested may take effect at any later time
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
--- a/features/simulation/platformsim/platformsim.feature
+++ b/features/simulation/platformsim/platformsim.feature
@@ -120,8 +120,9 @@
 
     # guards against a service that waits for ever for a log that is lost
     Examples: the backends with the log up to a promotion's fence are lost
-      | trial                     | share | last |
-      | stepped_down_primary_lost | 85    | 6    |
+      | trial                        | share | last |
+      | stepped_down_primary_lost    | 85    | 6    |
+      | stepped_down_primary_returns | 85    | 3    |
 
     # guards against a service without a primary for good: the returned one can't be paused, and nothing replaces it
     Examples: a primary is back under another name
--- a/src/cinderstair/failover/promotion.py
+++ b/src/cinderstair/failover/promotion.py
@@ -23,6 +23,9 @@
 UNREACHABLE_US = 1_200_000
 # A reachable backend that has not become primary after this long is replaced as well, in microseconds.
 PROMOTION_TIMEOUT_US = 5_000_000
+# How long a log up to the fence is sought before the fence is withdrawn, in microseconds. The assigned backend may
+# return, and the first heartbeat of a replica with that log may come seconds late.
+FENCE_WAIT_US = 4_000_000
 
 
 class FindBackend(Protocol):
@@ -176,8 +179,9 @@
         if not complete:
             reason = f"{assignment.primary} was not promoted, and no other backend that answers has every commit"
             failover.blocking.report(name=service.name, reason=reason)
+            sought_us = failover.ctx.now_us() - failover.assignments.since_us[service.name]
             # The promotion of a backend that runs may still take effect.
-            if lost:
+            if lost and sought_us >= FENCE_WAIT_US:
                 await self._withdraw_fence(service=service, assignment=assignment)
             return
         terms = (max(state.term, state.term_held) for state in states.values())
--- a/src/cinderstair/simulation/platformsim/platform_trials.py
+++ b/src/cinderstair/simulation/platformsim/platform_trials.py
@@ -100,6 +100,7 @@
         ),
         Trial(forgotten_replica_trials.controllers_killed_primary_leaves, ("LOST", "DRAIN")),
         Trial(lost_log_trials.stepped_down_primary_lost, FAILOVER),
+        Trial(lost_log_trials.stepped_down_primary_returns, FAILOVER),
         Trial(renamed_primary_trials.primary_returns_renamed),
         Trial(renamed_primary_trials.primary_returns_renamed_replica_down),
         Trial(renamed_primary_trials.primary_returns_renamed_repeatedly),
