--- a/src/cinderstair/failover/promotion.py
+++ b/src/cinderstair/failover/promotion.py
@@ -11,6 +11,7 @@
 from .backend_control import BackendState, Promoter
 from .backend_poller import PROBE_WAIT_US
 from .replica_fencing import PAUSE_WAIT_US, ReplicaFencing
+from .replica_resuming import ReplicaResuming
 from .service_failover_context import ServiceFailoverContext
 from .service_primary import PrimaryState, ServicePrimary
 from .successor import most_advanced
@@ -62,6 +63,7 @@
         *,
         failover: ServiceFailoverContext,
         fencing: ReplicaFencing,
+        resuming: ReplicaResuming,
         successor_check: SuccessorCheck,
         promoter: Promoter,
         fence_number: Callable[[], int],
@@ -69,6 +71,7 @@
     ) -> None:
         self.failover = failover
         self.fencing = fencing
+        self.resuming = resuming
         self.successor_check = successor_check
         self.promoter = promoter
         self.fence_number = fence_number
@@ -92,7 +95,7 @@
         await assignments.wait_for_older_views(service=service.name)
         settled = ServicePrimary(term=state.term, primary=assignment.primary, state=PrimaryState.settled)
         if await assignments.compare_and_set(service=service.name, old=assignment, new=settled):
-            self.fencing.release(service=service.name, primary=assignment.primary)
+            self.resuming.release(service=service.name, primary=assignment.primary)
             failover.blocking.report(name=service.name, reason="")
             failover.record_promotion(took_us=failover.ctx.now_us() - since_us)
 
--- a/src/cinderstair/failover/replica_fencing.py
+++ b/src/cinderstair/failover/replica_fencing.py
@@ -1,4 +1,4 @@
-"""Fences an old primary by pausing its replicas, and resumes them afterwards."""
+"""Fences an old primary by pausing its replicas."""
 
 import asyncio
 from dataclasses import dataclass
@@ -18,13 +18,8 @@
 
 # Timeout for a replica to confirm that it is paused or resumed, in microseconds.
 PAUSE_WAIT_US = 500_000
-# Interval between attempts to resume replicas that do not answer, in microseconds.
-RESUME_RETRY_US = 700_000
 # Stands for the time since replicas were paused where an earlier lease holder paused them, in microseconds.
 UNKNOWN_PAUSE_US = 1 << 50
-# A new lease holder rewrites every assignment. The number of concurrent rewrites is limited so that updates of
-# views are not delayed by all of them together.
-MAX_CONCURRENT_CONFIRMATIONS = 8
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -48,11 +43,20 @@
     reachable: tuple[Announcement, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class PauseOutcome:
+    """The states of the replicas that answered, all that count for a fence, and how many have to be paused."""
+
+    states: dict[str, BackendState]
+    replicas: list[Announcement]
+    needed: int
+
+
 class ReplicaFencing:
     """Owns which replicas are paused or may be, by service.
 
     Invariant: a successor is chosen only after enough replicas are paused that the old primary can't have another
-    commit confirmed. A replica is resumed only after the assignment was written again.
+    commit confirmed.
     """
 
     def __init__(
@@ -67,12 +71,6 @@
         self.fenced: set[str] = set()
         # the replicas paused by this lease holder for the promotion under way, by service
         self.held: dict[str, PausedReplicas] = {}
-        # replicas to resume, by service
-        self.paused: dict[str, set[str]] = {}
-        self.resuming: set[str] = set()
-        self.confirming = 0
-
-    # -- pausing --
 
     async def fence(self, *, service: Service, assignment: ServicePrimary, primary: str) -> Successor | None:
         """Pauses replicas in a new term and returns the one with the longest log; None if too few could be paused.
@@ -82,29 +80,20 @@
         term = max(assignment.term, self.terms.get(service.name, 0)) + 1
         began_us = self.failover.ctx.now_us()
         self.fenced.add(service.name)
-        departed = self._departed(service=service.name, primary=primary)
-        doubtful = self._doubtful(service=service.name, primary=primary)
-        certain = [*self._others(service=service.name, primary=primary), *departed]
-        enough = _fence_quorum(replicas=len(certain), confirmations=service.confirmations)
-        answers, doubted = await asyncio.gather(
-            self._pause(replicas=certain, term=term, needed=enough),
-            self._pause_doubtful(replicas=doubtful, term=term),
-        )
-        states = answers | doubted.states
-        replicas = [*certain, *doubted.reachable]
-        paused = {name: state for name, state in states.items() if state.term_held == term}
-        needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
-        if len(paused) >= needed:
-            successor = _longest(paused=paused, replicas=replicas, term=term)
+        outcome = await self._pause_known(service=service, primary=primary, term=term, wait_for_all=False)
+        paused = {name: state for name, state in outcome.states.items() if state.term_held == term}
+        if len(paused) >= outcome.needed:
+            successor = _longest(paused=paused, replicas=outcome.replicas, term=term)
             self.held[service.name] = PausedReplicas(
                 primary=primary, names=frozenset(paused), longest=successor, since_us=began_us
             )
-            self._log_fence(service=service.name, primary=primary, paused=paused, known=len(replicas))
+            self._log_fence(service=service.name, primary=primary, paused=paused, known=len(outcome.replicas))
             return successor
-        higher = [state.term_held for state in states.values() if state.term_held > term]
+        higher = [state.term_held for state in outcome.states.values() if state.term_held > term]
         # A replica that refuses may have been paused for a higher term by a lease holder that has crashed since.
         self.terms[service.name] = max([term, *higher])
-        reason = f"{primary} can't be fenced: {len(paused)} of {needed} required replicas are paused"
+        reason = f"{primary} can't be fenced: {len(paused)} of {outcome.needed} required replicas are paused"
+        departed = self._departed(service=service.name, primary=primary)
         if departed:
             reason += f" ({', '.join(each.name for each in departed)} deregistered or not heard)"
         if higher:
@@ -143,26 +132,37 @@
         :returns: None if too few are paused.
         """
         primary = self.replaced_primary(service=service.name)
-        certain = self._others(service=service.name, primary=primary)
-        certain += self._departed(service=service.name, primary=primary)
-        doubtful = self._doubtful(service=service.name, primary=primary)
-        answers, doubted = await asyncio.gather(
-            self._pause(replicas=certain, term=assignment.term, needed=len(certain)),
-            self._pause_doubtful(replicas=doubtful, term=assignment.term),
-        )
-        states = answers | doubted.states
-        replicas = [*certain, *doubted.reachable]
-        needed = _fence_quorum(replicas=len(replicas), confirmations=service.confirmations)
-        paused = {name: state for name, state in states.items() if state.term_held >= assignment.term}
+        outcome = await self._pause_known(service=service, primary=primary, term=assignment.term, wait_for_all=True)
+        paused = {name: state for name, state in outcome.states.items() if state.term_held >= assignment.term}
         held = self.held.get(service.name)
-        paused_before = frozenset() if held is None or require_answers else held.names - states.keys()
-        count = len({each.name for each in replicas} & (paused.keys() | paused_before))
-        if not paused or count < needed:
-            reason = f"{assignment.primary} can't be promoted: {count} of {needed} required replicas are paused"
+        paused_before = frozenset() if held is None or require_answers else held.names - outcome.states.keys()
+        count = len({each.name for each in outcome.replicas} & (paused.keys() | paused_before))
+        if not paused or count < outcome.needed:
+            reason = (
+                f"{assignment.primary} can't be promoted: {count} of {outcome.needed} required replicas are paused"
+            )
             self.failover.blocking.report(name=service.name, reason=reason)
             return None
         term = max(assignment.term, *(state.term_held for state in paused.values()))
-        return _longest(paused=paused, replicas=replicas, term=term)
+        return _longest(paused=paused, replicas=outcome.replicas, term=term)
+
+    async def _pause_known(self, *, service: Service, primary: str, term: int, wait_for_all: bool) -> PauseOutcome:
+        """Pauses all known replicas of `primary`; unless `wait_for_all`, until enough of the certain ones are."""
+        certain = [
+            *self._others(service=service.name, primary=primary),
+            *self._departed(service=service.name, primary=primary),
+        ]
+        enough = _fence_quorum(replicas=len(certain), confirmations=service.confirmations)
+        answers, doubted = await asyncio.gather(
+            self._pause(replicas=certain, term=term, needed=len(certain) if wait_for_all else enough),
+            self._pause_doubtful(replicas=self._doubtful(service=service.name, primary=primary), term=term),
+        )
+        replicas = [*certain, *doubted.reachable]
+        return PauseOutcome(
+            states=answers | doubted.states,
+            replicas=replicas,
+            needed=_fence_quorum(replicas=len(replicas), confirmations=service.confirmations),
+        )
 
     def replaced_primary(self, *, service: str) -> str:
         """The primary that a moving assignment replaces; empty if it is not known.
@@ -192,6 +192,18 @@
         presumed = self.deregistrations.presumed_exited(service=service)
         return [each for each in (*expired, *presumed) if each.name != primary]
 
+    def pausable(self, *, service: str) -> list[Announcement]:
+        """The backends that a fence of the service may have paused."""
+        unheard = [each.announcement for each in self.records.unheard(service=service)]
+        departed = self.deregistrations.unsettled(service=service)
+        presumed = self.deregistrations.presumed_exited(service=service)
+        return [*self.failover.members.of_service(service=service), *departed, *presumed, *unheard]
+
+    def assume_all_fenced(self) -> None:
+        """Marks every service, since the previous lease holder may have left replicas paused."""
+        self.fenced = set(self.failover.assignments.primaries)
+        self.held.clear()
+
     def paused_for_us(self, *, service: str) -> int:
         """Time since this lease holder began to pause the service's replicas; `UNKNOWN_PAUSE_US` if it did not."""
         held = self.held.get(service)
@@ -227,74 +239,6 @@
             ),
         )
 
-    # -- resuming --
-
-    def assume_all_fenced(self) -> None:
-        """Marks every service for confirmation, since the previous lease holder may have left replicas paused."""
-        self.fenced = set(self.failover.assignments.primaries)
-        self.held.clear()
-
-    def release(self, *, service: str, primary: str) -> None:
-        """Marks all replicas that may be paused to be resumed, after the assignment of `primary` was written."""
-        self.fenced.discard(service)
-        self.held.pop(service, None)
-        self.paused[service] = {each.name for each in self._pausable(service=service)} - {primary}
-
-    def _pausable(self, *, service: str) -> list[Announcement]:
-        """The backends that a fence of the service may have paused."""
-        unheard = [each.announcement for each in self.records.unheard(service=service)]
-        departed = self.deregistrations.unsettled(service=service)
-        presumed = self.deregistrations.presumed_exited(service=service)
-        return [*self.failover.members.of_service(service=service), *departed, *presumed, *unheard]
-
-    def confirmation_due(self, *, service: str) -> bool:
-        """Whether the service's assignment must be confirmed now."""
-        return service in self.fenced and self.confirming < MAX_CONCURRENT_CONFIRMATIONS
-
-    async def confirm(self, *, service: str, assignment: ServicePrimary) -> None:
-        """Rewrites an unchanged assignment, so that no incomplete write of an earlier holder can take effect."""
-        self.confirming += 1
-        try:
-            confirmed = await self.failover.assignments.compare_and_set(
-                service=service, old=assignment, new=assignment
-            )
-        finally:
-            self.confirming -= 1
-        if confirmed:
-            self.release(service=service, primary=assignment.primary)
-
-    def start_resuming(self, *, service: str, assignment: ServicePrimary) -> bool:
-        """Starts to resume paused replicas in the background; False without any, or if that is in progress."""
-        if not self.paused.get(service) or service in self.resuming:
-            return False
-        self.resuming.add(service)
-        self.failover.ctx.spawn(work=self._resume(service=service, assignment=assignment), name="resume")
-        return True
-
-    async def _resume(self, *, service: str, assignment: ServicePrimary) -> None:
-        """Resumes the paused replicas that have not confirmed it yet, and demotes an old primary among them."""
-        try:
-            members = [each for each in self._pausable(service=service) if each.name in self.paused[service]]
-            self.paused[service] &= {each.name for each in members}
-            resumed = []
-            for member in members:
-                if await self._resume_member(member=member, term=assignment.term):
-                    self.paused[service].discard(member.name)
-                    resumed.append(member.name)
-            if resumed:
-                self.failover.ctx.log.info("service %s: replicas resumed: %s", service, ", ".join(resumed))
-            if self.paused[service]:
-                await self.failover.ctx.sleep(duration_us=RESUME_RETRY_US)
-        finally:
-            self.resuming.discard(service)
-
-    async def _resume_member(self, *, member: Announcement, term: int) -> bool:
-        control = self.failover.control
-        resumed = await control.resume(backend=member, wait_us=PAUSE_WAIT_US)
-        if resumed.is_ok() and resumed.ok.is_primary:
-            resumed = await control.step_down(backend=member, term=term, wait_us=PAUSE_WAIT_US)
-        return resumed.is_ok()
-
 
 def _names(*, backends: list[Announcement]) -> str:
     return ", ".join(each.name for each in backends) or "none"
--- a/src/cinderstair/failover/service_failover.py
+++ b/src/cinderstair/failover/service_failover.py
@@ -2,9 +2,9 @@
 
 This module decides which step a service needs. The steps are implemented in `primary_monitor` (whether and why the
 primary must be replaced), `switchover` (a reachable primary steps down), `replica_fencing` (the replicas of an
-unreachable primary are paused), `successor` (choice of the next primary), `successor_check` (the successor has every
-acknowledged commit) and `promotion` (promotes the successor and waits until it serves). `primary_replacement` runs
-them one after the other.
+unreachable primary are paused), `replica_resuming` (they are resumed), `successor` (choice of the next primary),
+`successor_check` (the successor has every acknowledged commit) and `promotion` (promotes the successor and waits until
+it serves). `primary_replacement` runs them one after the other.
 """
 
 from collections.abc import Awaitable, Callable
@@ -31,6 +31,7 @@
 from .reachability_votes import ReachabilityPoll
 from .replica_fencing import ReplicaFencing
 from .replica_records import ReplicaRecords
+from .replica_resuming import ReplicaResuming
 from .service_assignments import ServiceAssignments
 from .service_failover_context import ServiceFailoverContext
 from .service_members import ServiceMembers
@@ -130,10 +131,12 @@
             reachability_poll=reachability_poll,
         )
         self.fencing = ReplicaFencing(failover=failover, deregistrations=self.deregistrations, records=self.records)
+        self.resuming = ReplicaResuming(failover=failover, fencing=self.fencing)
         self.switchover = Switchover(failover=failover, monitor=self.monitor)
         self.promotion = Promotion(
             failover=failover,
             fencing=self.fencing,
+            resuming=self.resuming,
             successor_check=SuccessorCheck(failover=failover, fencing=self.fencing),
             promoter=promoter,
             fence_number=lambda: self.fence_number,
@@ -235,13 +238,13 @@
         if reason is not None:
             if reason.primary_answers and assignment.state == PrimaryState.settled:
                 # A replica that is still paused can't catch up with the primary that it is to replace.
-                self.fencing.start_resuming(service=name, assignment=assignment)
+                self.resuming.start_resuming(service=name, assignment=assignment)
             # A later lease holder learns from the record whose replicas a fence has to count.
             if recorded:
                 await self.replacement.replace(service=service, assignment=assignment, reason=reason)
-        elif self.fencing.confirmation_due(service=name):
-            await self.fencing.confirm(service=name, assignment=assignment)
-        elif not self.fencing.start_resuming(service=name, assignment=assignment):
+        elif self.resuming.confirmation_due(service=name):
+            await self.resuming.confirm(service=name, assignment=assignment)
+        elif not self.resuming.start_resuming(service=name, assignment=assignment):
             await self.failover.assignments.reopen(service=name, assignment=assignment)
 
     def _settle_deregistrations(self, *, service: str, primary: str) -> None:
