--- a/src/cinderstair/failover/service_failover.py
+++ b/src/cinderstair/failover/service_failover.py
@@ -3,8 +3,8 @@
 This module decides which step a service needs. The steps are implemented in `primary_monitor` (whether and why the
 primary must be replaced), `switchover` (a reachable primary steps down), `replica_fencing` (the replicas of an
 unreachable primary are paused), `replica_resuming` (they are resumed), `successor` (choice of the next primary),
-`successor_check` (the successor has every acknowledged commit) and `promotion` (promotes the successor and waits until
-it serves). `primary_replacement` runs them one after the other.
+`successor_check` (the successor has every acknowledged commit) and `promotion` (promotes the successor and waits
+until it serves). `primary_replacement` runs them one after the other.
 """
 
 from collections.abc import Awaitable, Callable
