Failover: commits of a service without confirmations are not waited for

Where commits wait for no replica (waits_for 0), acknowledged ones may be missing from every replica, and the failover waited 10 s for them.

Test: 'Commits that no replica has to confirm are not waited for' failed before.

--- a/features/failover/service_failover.feature
+++ b/features/failover/service_failover.feature
@@ -532,6 +532,18 @@
       | answer, but for one, | d    | 4000  | the controllers run for 0 ms |
       | answer, but for one, | a    | 60000 | "a" is restarted             |
 
+  Scenario: Commits that no replica has to confirm are not waited for
+    # guards against a failover that waits for commits which its service may lose
+    Given a service with primary "a", replicas "b, c" and 0 required confirmations
+    And proxies that answer notices of an assignment, and acknowledge commits by their views
+    And the failover lease is held and the assignment is settled
+    When "b" receives nothing any more
+    And "c" receives nothing any more
+    And the controllers run for 300 ms
+    And "a" crashes
+    And "a" is suspected
+    Then the assignment is settled on another backend within 4000 ms
+
   Scenario Outline: A primary that stepped down and is lost for good before it is promoted again is replaced: <event>
     # guards against a service that waits for ever for the end of a log that holds commits which nobody acknowledged
     Given a service with primary "a", replicas "b, c" and 1 required confirmations
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -175,7 +175,8 @@
         ends between both bounds of the last acknowledged commit, and that one was acknowledged before the replicas
         were paused, the positions after `fence` are most likely of commits that no replica had confirmed.
         """
-        if acknowledged.least > fence:
+        # Without confirmations acknowledged commits may be lost with their primary.
+        if service.confirmations and acknowledged.least > fence:
             return True
         held = self.fencing.held.get(service.name)
         after_pause = held is None or acknowledged.last_us > held.since_us
