--- a/src/cinderstair/simulation/platformsim/replica_record_bugs.py
+++ b/src/cinderstair/simulation/platformsim/replica_record_bugs.py
@@ -15,7 +15,14 @@
 
 
 def unheard_replicas_uncounted() -> Patches:
-    """A fence counts only the replicas that the lease holder has heard of since it started."""
+    """A fence counts only the replicas that the lease holder has heard of since it started.
+
+    What proxies have acknowledged shows that the successor lacks commits, so that is ignored as well.
+    """
+    return [*_unheard_uncounted(), *commits_before_pause_ignored()]
+
+
+def _unheard_uncounted() -> Patches:
     return [patch.object(ReplicaRecords, "unheard", lambda self, *, service: [])]
 
 
@@ -27,7 +34,7 @@
 
     return [
         patch.object(ReplicaRecords, "record_departure", acknowledge),
-        patch.object(ReplicaRecords, "update", lambda self, **named: None),
+        patch.object(ReplicaRecords, "update", lambda self, **named: True),
     ]
 
 
@@ -38,7 +45,7 @@
         return None
 
     return [
-        *unheard_replicas_uncounted(),
+        *_unheard_uncounted(),
         *departures_unrecorded(),
         patch.object(SuccessorCheck, "_lacks_commits", lambda self, **named: False),
         patch.object(SuccessorCheck, "_returned_primary", no_primary),
