Acknowledged commits: what a second reading of the change found, simplified

- CommitAcknowledgement.allowed: how far the log had reached is required; the default served no caller, and one that forgot it would weaken the lower bound.
- ProxyNotifier.notify: one branch for proxies that are not all known, in place of a condition that was asked twice; the maximum of the bounds without a case for no answer.
SuccessorCheck._choose asks once whether a fence is held.
- Trials: a return value that nobody used is gone.

--- a/features/steps/proxy_notifier_steps.py
+++ b/features/steps/proxy_notifier_steps.py
@@ -26,7 +26,7 @@
 from cinderstair.runtime.message_types import MessageType
 from cinderstair.runtime.position import START, Position
 
-register_type(Position=with_pattern(r"\d+\.\d+")(lambda text: Position(*map(int, text.split(".")))))
+register_type(Position=with_pattern(r"\d+\.\d+")(lambda text: position(text=text)))
 
 ONE_WAY_S = 0.008
 KEY = service_primary_key(service="s")
--- a/src/cinderstair/control_plane/proxy_notifier.py
+++ b/src/cinderstair/control_plane/proxy_notifier.py
@@ -96,11 +96,12 @@
             for name, address in addresses.items()
         }
         proxies = await self._proxies_of_all(notice=notice)
-        all_known = proxies is not None and proxies <= tasks.keys()
-        # Where it is not known which proxies matter, each of them may.
-        awaited = proxies if proxies is not None and all_known else tasks.keys()
-        receipts = await asyncio.gather(*(tasks[name] for name in sorted(awaited)))
-        return self._combined(receipts=receipts, running_us=running_us, all_known=all_known)
+        if proxies is None or not proxies <= tasks.keys():
+            # It is not known which proxies matter, so each of them may.
+            receipts = await asyncio.gather(*tasks.values())
+            return self._combined(receipts=receipts, running_us=running_us, all_known=False)
+        receipts = await asyncio.gather(*(tasks[name] for name in sorted(proxies)))
+        return self._combined(receipts=receipts, running_us=running_us, all_known=True)
 
     def _addresses(self) -> dict[str, str]:
         """The addresses of the proxies that accept records, by name."""
@@ -167,14 +168,14 @@
         """
         now_us = self.ctx.now_us()
         answered = [timed for timed in receipts if timed is not None]
-        least = least_last_position(
+        counted = least_last_position(
             reached_before=[position for timed in answered for position in timed.receipt.reached_before]
         )
         return AcknowledgedCommits(
             position=max((timed.receipt.acknowledged for timed in answered), default=START),
             # The receipt was sent after the notice, so the acknowledgement is at most this old.
             last_us=max((now_us - timed.receipt.acknowledged_ago_us for timed in answered), default=0),
-            least=max(least, *(timed.receipt.acknowledged_least for timed in answered)) if answered else START,
+            least=max([counted, *(timed.receipt.acknowledged_least for timed in answered)]),
             complete=all_known
             and len(answered) == len(receipts)
             and all(timed.receipt.running_us >= running_us + now_us - timed.sent_us for timed in answered),
--- a/src/cinderstair/failover/successor_check.py
+++ b/src/cinderstair/failover/successor_check.py
@@ -60,8 +60,7 @@
     ) -> Successor | None:
         """The backend to promote; None if no known one is sure to have every acknowledged commit."""
         held = self.fencing.held.get(service.name)
-        covered = held is not None and acknowledged.position <= held.longest.fence
-        if held is not None and covered and acknowledged.complete:
+        if acknowledged.complete and held is not None and acknowledged.position <= held.longest.fence:
             return held.longest
         successor = await self._longest_log(service=service, assignment=assignment, acknowledged=acknowledged)
         if successor is None:
--- a/src/cinderstair/pooler/commit_acknowledgement.py
+++ b/src/cinderstair/pooler/commit_acknowledgement.py
@@ -4,7 +4,7 @@
 
 from ..failover.service_primary import PREFIX, PrimaryState
 from ..runtime.context import Context
-from ..runtime.position import START, Position
+from ..runtime.position import Position
 from .acknowledged_positions import AcknowledgedPositions
 from .relayed_view import RelayedView
 
@@ -73,7 +73,7 @@
         backend: str,
         position: Position | None,
         until_us: int,
-        reached_before: Position = START,
+        reached_before: Position,
     ) -> bool:
         """Whether a commit that a backend has confirmed may be acknowledged, in which case it is recorded.
 
--- a/src/cinderstair/simulation/platformsim/lost_log_trials.py
+++ b/src/cinderstair/simulation/platformsim/lost_log_trials.py
@@ -8,15 +8,14 @@
 RETURN_US = 7_000_000
 
 
-def _await_promotion_request(*, world: PlatformWorld) -> str:
-    """Waits until a promotion in the first service is requested; returns the backend's name."""
+def _await_promotion_request(*, world: PlatformWorld) -> None:
+    """Waits until a promotion in the first service is requested."""
     world.await_that(
         test=lambda: any(call[1] == "ledger0" for call in world.platform.calls),
         within_ms=RECOVERY_MS,
         description="the platform is asked for a promotion",
         step_ms=5,
     )
-    return next(call[2] for call in world.platform.calls if call[1] == "ledger0")
 
 
 def _kill_all(*, world: PlatformWorld) -> None:
